Keep the discovery watch open where list changes are pushed

Cause: with registry-mode pushed the module never subscribes, and the network side opened a watch only when asked. The list stayed as it was at the start.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -47,6 +47,8 @@
     host.subscribe = discovery.subscribe
     if settings.known:
         discovery.cached(settings.known)
+    if not settings.settings.list_on_request:
+        discovery.keep()
     host.start()
     server = Server(host, settings.settings, settings.sockets // 2)
     await server.listen(settings.listen)
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # an empty line comes every 2 s
+CALL_AGAIN_S = 0.25  # the agent answers at once and at no cost; short beside the 1 s that a drain leaves
 LONGEST_LINE = 4 * 1024 * 1024
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
@@ -118,7 +119,10 @@
 
 
 class Discovery:
-    """Holds the watch that the module has asked for, and tells how it fails, once for each call."""
+    """Holds the watch on the list's changes: for good, or as the module asks for it.
+
+    Where the module asks, it is told how each call fails; a watch kept for good is called for again here.
+    """
 
     def __init__(self, address: Address, directory: Directory, listener: Listener) -> None:
         self.loop = asyncio.get_running_loop()
@@ -130,6 +134,7 @@
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
+        self.kept = False  # the watch is called for again whenever it ends
 
     def cached(self, lines: Any) -> None:
         """The list as the sidecar last had it."""
@@ -142,6 +147,11 @@
         self.version = event.version
         self.listener(event, addresses)
 
+    def keep(self) -> None:
+        """Hazard: where changes are pushed the module never asks, and without a watch none would arrive."""
+        self.kept = True
+        self.subscribe(True)
+
     def subscribe(self, active: bool) -> None:
         """Ask for changes from now on, in place of an earlier call; or stop."""
         self.stop()
@@ -184,6 +194,10 @@
         self.listener(event, addresses)
 
     def ended(self, watch: Watch) -> None:
-        if watch is self.watch:
-            self.stop()
+        if watch is not self.watch:
+            return
+        self.stop()
+        if self.kept:
+            self.timer = self.loop.call_later(CALL_AGAIN_S, self.subscribe, True)
+        else:
             self.listener(UpstreamsUpdated(ListKind.FAILED), {})
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -330,6 +330,25 @@
     run(test)
 
 
+def test_where_changes_are_pushed_a_watch_is_kept_open_though_nobody_asks() -> None:
+    async def test() -> None:
+        old, new, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await new.start()
+        async with sidecar(old, discovery=discovery, list_on_request=False) as it:
+            await discovery.watched()
+            discovery.line(listing(entry("u0", old.port, "left"), entry("u1", new.port), rev=2, full=False))
+            while not new.requests:
+                assert status(await it.ask(request())) == 200
+            before = len(old.requests)
+            assert status(await it.ask(request())) == 200 and len(old.requests) == before
+            discovery.writers[-1].transport.abort()  # the call fails, and is made again
+            await discovery.watched()
+            assert b"follow=1&since=2 " in discovery.calls[1]
+        new.stop()
+
+    run(test)
+
+
 def test_a_list_that_can_not_be_read_ends_the_watch_and_leaves_the_old_list() -> None:
     async def test() -> None:
         upstream, discovery = Upstream(answering(OK)), Discovery()
