Close an upstream's slots only for faults in a row, not for each broken answer

Cause: each broken connection, unreadable answer or error halved the slots of its upstream. With 4 to 7 in 100 attempts broken at every upstream alike, all windows stayed near one slot while the upstreams answered in 50 ms.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -13,6 +13,7 @@
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
+FAULTS_IN_A_ROW = 2  # tell a failing upstream from one broken connection or answer among good ones
 REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
@@ -55,6 +56,7 @@
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
+        self.faults = 0  # attempts that failed at once since the last that did not
         self.pace = 1.0  # time of its answers beside those of the others, smoothed
         self.rests = False  # as last logged
 
@@ -248,9 +250,12 @@
             pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         step = GROWTH * (FULL_LOAD - load) / max(server.window, 1.0)
-        if outcome in INSTANT_FAULTS:
+        server.faults = server.faults + 1 if outcome in INSTANT_FAULTS else 0
+        if outcome is api.Outcome.FULL or server.faults >= FAULTS_IN_A_ROW:
             # hazard: what fails at once frees its slot at once and so would draw ever more
             server.window /= 2
+        elif outcome in INSTANT_FAULTS:
+            pass  # hazard: broken connections here and there, at every upstream, would close all slots
         elif step < 0.0:
             # hazard: after an outage all would rest for long, so slow answers leave the one slot
             server.window = max(server.window * (1.0 + step), min(server.window, 1.0))
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -401,6 +401,23 @@
     assert held(world) >= before / 2 - 1
 
 
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET])
+def test_faults_here_and_there_among_good_answers_close_no_slot(outcome: Outcome) -> None:
+    world = busy_world()
+    before = held(world)
+    for _ in range(20):
+        request = world.arrive(PAY)
+        world.end(request, 0, outcome)
+        world.advance(20_000)
+        if world.owed[request].out():  # what never ran goes out again
+            world.end(request, 1, Outcome.OK)
+        for _ in range(4):
+            world.end(world.arrive(PAY), 0, Outcome.OK)
+    churn(world, 1)  # what was left waiting
+    assert before >= 4
+    assert held(world) >= before
+
+
 def test_one_heavy_request_among_quick_answers_closes_no_slot() -> None:
     world = busy_world()
     before = held(world)
