Take a request that an upstream rejects as the request's fault, not the upstream's

Cause: a 400 counted as an upstream's error. Such a request went to three upstreams in turn and each lost half its slots; so did an upstream whose attempt was never sent. Both now tell nothing of the upstream, and a rejected request fails at once.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -14,6 +14,7 @@
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 FAULTS_IN_A_ROW = 2  # tell a failing upstream from one broken connection or answer among good ones
+UNJUDGED = (api.Outcome.REJECTED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)  # tell nothing of an upstream
 REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
@@ -211,8 +212,9 @@
     def finish(self, request: Request) -> None:
         """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
         kind = self.class_of(request)
-        harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
-                    or (kind.effect == "deduplicated" and kind.group == "all"))
+        rejected = any(attempt.ended is api.Outcome.REJECTED for attempt in request.attempts)
+        harmless = not rejected and (kind.effect == "idempotent" or request.first_that_may_have_run() is None
+                                     or (kind.effect == "deduplicated" and kind.group == "all"))
         self.close(request)
         ident, after_us = request.event.request, self.mean_us[request.event.class_index]
         # about one answer's time, spread lest refused clients return together
@@ -377,7 +379,8 @@
         attempt = attempts[0]
         attempt.ended = event.outcome
         attempt.server.used -= 1
-        self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if event.outcome not in UNJUDGED:  # hazard: bad requests would close every upstream's slots
+            self.judge(attempt, event.elapsed_us, request.event.class_index)
         attempt.server.pool.served += float(event.outcome is api.Outcome.OK)
         if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -16,6 +16,7 @@
 
     OK = "ok"
     ERROR = "error"  # answered with an error; may have run
+    REJECTED = "rejected"  # the upstream found fault with the request itself; may have run
     FULL = "full"  # turned away unseen; never ran
     TIMEOUT = "timeout"  # no answer in time; may have run or be running
     CONNECT_FAILED = "connect_failed"  # no connection; never ran
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -17,6 +17,7 @@
 LONGEST_BODY = 64 * 1024
 LONGEST_ANSWER = 1024 * 1024  # with its head and framing
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
+UPSTREAMS_OWN = (408, 429)  # of 4xx, those that speak of the upstream's state and not of the request
 Address = tuple[str, int]
 
 
@@ -172,6 +173,8 @@
             outcome = Outcome.OK
         elif self.status in (503, 504) and self.not_run:
             outcome = Outcome.FULL
+        elif 400 <= self.status < 500 and self.status not in UPSTREAMS_OWN:
+            outcome = Outcome.REJECTED
         else:
             outcome = Outcome.ERROR
         self.finish(outcome)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -101,6 +101,17 @@
     run(test)
 
 
+def test_a_request_that_an_upstream_rejects_goes_to_no_other() -> None:
+    async def test() -> None:
+        rejected = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+        upstreams = [Upstream(answering(rejected)) for _ in range(3)]
+        async with sidecar(*upstreams) as it:
+            assert status(await it.ask(request())) == 500
+        assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+    run(test)
+
+
 def test_a_refusal_tells_when_to_come_back_and_a_failed_connection_never_ran() -> None:
     async def test() -> None:
         gone = Upstream(silent)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -418,6 +418,19 @@
     assert held(world) >= before
 
 
+@pytest.mark.parametrize("class_index", [READ, PAY])
+def test_rejected_requests_fail_at_once_and_are_not_held_against_the_upstream(class_index: int) -> None:
+    world = busy_world()
+    before = held(world)
+    churn(world, 1)  # what was left waiting
+    for _ in range(20):
+        request = world.arrive(class_index)
+        world.end(request, 0, Outcome.REJECTED)
+        assert isinstance(world.answer(request), Fail) and len(world.sends(request)) == 1
+    assert before >= 4
+    assert held(world) >= before
+
+
 def test_one_heavy_request_among_quick_answers_closes_no_slot() -> None:
     world = busy_world()
     before = held(world)
