Start each upstream with three slots, so that a busy sidecar can begin

Cause: slots open only after requests were refused for lack of one, and each upstream began with one; a sidecar with 160 requests a second refused 1 in 20 through its first seconds.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -16,6 +16,7 @@
 FAULTS_IN_A_ROW = 2  # tell a failing upstream from one broken connection or answer among good ones
 UNJUDGED = (api.Outcome.REJECTED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)  # tell nothing of an upstream
 REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
+FIRST_SLOTS = 3.0  # a busy sidecar would fill one each in its first moment, and refuse till more open
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
@@ -54,7 +55,7 @@
         self.entry = entry
         self.pool = pool
         self.used = 0  # slots taken by this sidecar's sends
-        self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
+        self.window = FIRST_SLOTS  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
         self.faults = 0  # attempts that failed at once since the last that did not
