Move the watch to the discovery address that the file names after SIGHUP

Cause: nothing handled SIGHUP, so the signal that announces a new discovery address ended the sidecar, which counts as a crash. The watch now moves at once and takes up the list where it stood; an unreadable file changes nothing. The new test fails without the handler: the program is gone.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from glenkeel.wire import WireError
 from plovertrail import config
@@ -16,6 +17,9 @@
 from plovertrail.server import Server
 from plovertrail.upstreams import Pool
 
+log = logging.getLogger(__name__)
+
+UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
 LINES_A_SECOND = 5
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
@@ -37,8 +41,9 @@
         return self.lines <= LINES_A_SECOND
 
 
-async def serve(settings: config.Config, stop: asyncio.Event) -> None:
-    """Serve until told to stop, then answer what comes and what is open."""
+async def serve(settings: config.Config, stop: asyncio.Event,
+                prepared: Callable[[Discovery], None] = lambda discovery: None) -> None:
+    """Serve until told to stop, then answer what comes and what is open; `prepared` gets the discovery."""
     loop = asyncio.get_running_loop()
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
     host = Host(settings.settings, settings.seed, pool)
@@ -50,6 +55,7 @@
     if not settings.settings.list_on_request:
         discovery.keep()
     host.start()
+    prepared(discovery)
     server = Server(host, settings.settings, settings.sockets // 2)
     await server.listen(settings.listen)
     await stop.wait()
@@ -63,22 +69,35 @@
         server.stop_idle()
 
 
-async def run(settings: config.Config) -> None:
-    """Serve until SIGTERM."""
+def reload(path: str, discovery: Discovery) -> None:
+    """Take the address of discovery from the file anew; a file that can't be read changes nothing."""
+    try:
+        address = config.load(path).discovery
+    except UNREADABLE as error:
+        log.warning("the configuration can't be read again: %r", error)
+        return
+    discovery.move(address)
+
+
+async def run(settings: config.Config, path: str) -> None:
+    """Serve until SIGTERM; SIGHUP means that the file has been replaced."""
     stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    await serve(settings, stop)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    await serve(settings, stop,
+                lambda discovery: loop.add_signal_handler(signal.SIGHUP, reload, path, discovery))
 
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     logging.getLogger().handlers[0].addFilter(RateLimit())
     try:
-        settings = config.load(os.environ["BALANCER_CONFIG"])
-    except (OSError, KeyError, TypeError, ValueError, WireError) as error:
+        path = os.environ["BALANCER_CONFIG"]
+        settings = config.load(path)
+    except UNREADABLE as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
-    asyncio.run(run(settings))
+    asyncio.run(run(settings, path))
     return 0
 
 
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -152,6 +152,12 @@
         self.kept = True
         self.subscribe(True)
 
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on; hazard: what the old one still says may be out of date."""
+        self.address = address
+        log.info("discovery has moved to %s:%d", *address)
+        self.subscribe(True)
+
     def subscribe(self, active: bool) -> None:
         """Ask for changes from now on, in place of an earlier call; or stop."""
         self.stop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,8 +17,22 @@
 
 import pytest
 
+from plovertrail.__main__ import reload
 from plovertrail.config import Config, flatten, load
-from tests.net import OK, PATIENCE_S, Upstream, entry, free_port, listing, read_message, request
+from plovertrail.discovery import Directory
+from plovertrail.discovery import Discovery as Discovering
+from tests.net import (
+    OK,
+    PATIENCE_S,
+    Discovery,
+    Upstream,
+    answering,
+    entry,
+    free_port,
+    listing,
+    read_message,
+    request,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -88,6 +102,45 @@
         assert process.wait(PATIENCE_S) == 0
 
 
+def test_sighup_moves_the_watch_to_the_address_that_the_file_names_by_then(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new, upstream = Discovery(), Discovery(), Upstream(answering(OK))
+        for peer in (old, new, upstream):
+            await peer.start()
+        path = configuration(tmp_path, discovery=f"127.0.0.1:{old.port}")
+        whole = json.loads(path.read_text())
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                await old.watched()
+                path.write_text(json.dumps(whole | {"discovery": f"127.0.0.1:{new.port}"}))
+                process.send_signal(signal.SIGHUP)
+                await new.watched()
+                new.line(listing(entry("moved", upstream.port), rev=2))
+                host, port = whole["listen"].split(":")
+                while not upstream.requests:
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(request("pay", "1", b"b", deadline_ms=1000))
+                    await read_message(reader)
+                    writer.close()
+            assert process.poll() is None
+        for peer in (old, new, upstream):
+            peer.stop()
+
+    asyncio.run(test())
+
+
+def test_a_file_that_can_not_be_read_again_leaves_discovery_where_it_is(tmp_path: Path) -> None:
+    async def test() -> None:
+        directory = Directory(["a"], ["m"])
+        discovery = Discovering(("127.0.0.1", 1), directory, lambda event, addresses: None)
+        path = configuration(tmp_path)
+        path.write_text("{")
+        reload(str(path), discovery)
+        assert discovery.address == ("127.0.0.1", 1) and discovery.watch is None
+
+    asyncio.run(test())
+
+
 def test_sigterm_under_load_leaves_nothing_that_ran_without_its_answer(tmp_path: Path) -> None:
     async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader,
                    writer: asyncio.StreamWriter) -> None:
