Turn strangers away within 3 s, and make room of them before clients

Cause: a connection that sent nothing was never closed, half a request was given 5 s, and when descriptors ran short idle clients went before strangers. A request now has 2.5 s to come whole, from the connect for a stranger's first.

Guarded by tests that fail without it.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -14,7 +14,8 @@
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
-LONGEST_READ_US = 5_000_000  # a request whose bytes come more slowly than this is given up
+LONGEST_READ_US = 2_500_000  # for a request to come whole; strangers are owed an end 3 s after they connect
+CHECK_S = 0.1  # between looks at what clients have sent
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -81,7 +82,9 @@
         self.parser = httptools.HttpRequestParser(self)
         self.open = False  # a request has been taken and not answered
         self.ident = 0  # the host's name for it
+        self.made_us = 0  # when it connected
         self.begun_us = 0  # when the message now being read began
+        self.proven = False  # it has sent a proper request
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
         self.ending = False  # what still comes is not read any more
@@ -98,6 +101,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.made_us = clock_us()
         self.server.connected(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -172,10 +176,11 @@
             self.last = True
         target, headers, body = self.target, self.headers, bytes(self.body)
         if target == b"/up" and method == b"GET":
+            self.proven = True
             self.write(200 if self.server.ready else 503, b"")
             return
         call = self.server.catalogue.call(method, target, headers, body)
-        self.open = True
+        self.open = self.proven = True
         self.ident = self.server.host.arrived(call, self.answer)
 
     def answer(self, answer: Answer) -> None:
@@ -217,6 +222,10 @@
     def idle(self) -> bool:
         return not self.open and not self.ending and self.begun_us == 0
 
+    @property
+    def unproven(self) -> bool:
+        return not self.proven and not self.ending
+
     def close(self) -> None:
         """End an idle connection."""
         assert self.transport is not None
@@ -224,8 +233,13 @@
         self.transport.close()
 
     def check(self, now_us: int) -> None:
-        if self.begun_us and not self.open and not self.ending and now_us > self.begun_us + LONGEST_READ_US:
-            self.write(408, b"", last=True)
+        """Hazard: a stranger that sends nothing, or half a request, would hold its connection for ever."""
+        since_us = self.begun_us if self.proven else self.made_us
+        if since_us and not self.open and not self.ending and now_us > since_us + LONGEST_READ_US:
+            if self.begun_us:
+                self.write(408, b"", last=True)
+            else:
+                self.close()
 
 
 class Server:
@@ -249,16 +263,17 @@
         self.check()
 
     def connected(self, client: Client) -> None:
-        """Hazard: with no descriptor left no upstream could be reached, so the oldest idle client goes."""
+        """Hazard: with no descriptor left no upstream could be reached, so the oldest client without an open
+        request goes, a stranger before one that has sent proper requests."""
         if len(self.clients) >= self.most_clients:
-            oldest = next((other for other in self.clients if other.idle), None)
+            oldest = next((other for other in self.clients if other.unproven), None)
+            oldest = oldest or next((other for other in self.clients if other.idle), None)
             if oldest is not None:
                 oldest.close()
         self.clients[client] = None
 
     def check(self) -> None:
-        """Hazard: half a request would hold its connection for ever."""
-        asyncio.get_running_loop().call_later(1.0, self.check)
+        asyncio.get_running_loop().call_later(CHECK_S, self.check)
         now_us = clock_us()
         for client in list(self.clients):
             client.check(now_us)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,13 +5,14 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
 from glenkeel.balance import Balancer
-from glenkeel.interface import Event, Outcome
-from plovertrail.host import Call, Result
+from glenkeel.interface import Event, Outcome, Settings
+from plovertrail.host import Answer, Call, Host, Result, Verdict
+from plovertrail.server import Client, Server
 from plovertrail.upstreams import Attempt, Connection, Pool
 from tests.net import (
     NOT_RUN,
@@ -20,8 +21,10 @@
     Discovery,
     Upstream,
     answering,
+    classes,
     entry,
     listing,
+    read_message,
     request,
     sidecar,
     silent,
@@ -297,6 +300,97 @@
     run(test)
 
 
+class Sink(asyncio.Transport):
+    """Takes what is written and goes nowhere."""
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: object) -> None:
+        pass
+
+    def write_eof(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
+def a_client() -> Client:
+    """A client's connection, and no more of the sidecar behind it than takes its requests."""
+    class Taker:
+        ready = True
+
+        def arrived(self, call: Call, reply: object) -> int:
+            return 1
+
+    settings = Settings(classes())
+    client = Client(Server(cast(Host, Taker()), settings, 100))
+    client.connection_made(Sink())
+    return client
+
+
+@pytest.mark.parametrize(("sent", "answer"), [(b"", b""), (b"GET /read HTTP/1.1\r\n", b"HTTP/1.1 408 ")])
+def test_a_stranger_that_sends_no_whole_request_is_turned_away(sent: bytes, answer: bytes) -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await it.connect()
+            writer.write(sent)
+            assert (await reader.read()).startswith(answer)
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("sent", [[], [b"GET /read HT"], [request(), b"GET /read HT"]])
+def test_a_whole_request_is_waited_for_less_than_3_s(sent: list[bytes]) -> None:
+    async def test() -> None:
+        client = a_client()
+        for data in sent:
+            client.data_received(data)
+            if client.open:
+                client.answer(Answer(Verdict.FAILED))
+        since_us = client.begun_us or client.made_us
+        client.check(since_us + 2_400_000)
+        assert not client.ending
+        client.check(since_us + 2_900_000)
+        assert client.ending
+
+    run(test)
+
+
+def test_a_client_that_is_idle_between_requests_is_left_alone() -> None:
+    async def test() -> None:
+        client = a_client()
+        client.data_received(request())
+        client.answer(Answer(Verdict.FAILED))
+        client.check(client.made_us + 60_000_000)
+        assert client.idle
+
+    run(test)
+
+
+def test_strangers_make_room_before_clients_do() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:  # 200 descriptors
+            reader, writer = await it.connect()
+            writer.write(request())
+            assert status(await read_message(reader)) == 200
+            strangers = [await it.connect() for _ in range(150)]
+            for _, stranger in strangers:
+                stranger.write(b"GET /read HT")
+            writer.write(request())
+            assert status(await read_message(reader)) == 200
+            for _, stranger in strangers:
+                stranger.close()
+            writer.close()
+
+    run(test)
+
+
 def test_many_idle_clients_make_room_for_new_ones() -> None:
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:  # 200 descriptors
