--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -206,6 +206,16 @@
     assert held(world) < grown / 2
 
 
+def test_answers_in_three_quarters_of_the_slow_time_go_on_opening_slots() -> None:
+    world = ready_world(1, second_copies=False)
+    taken = [request for request in fill(world) if world.sends(request)]
+    world.advance(112_000)  # of half the aim, 150 ms
+    before = world.balancer.servers[100].window
+    for request in taken:
+        world.end(request, 0, Outcome.OK)
+    assert world.balancer.servers[100].window > before
+
+
 def test_a_stale_timer_does_not_arm_another() -> None:
     world = ready_world(2)
     for _ in range(50):
