Cancel the attempt that lost to its copy once the request has its answer

Cause: after the first answer the other attempt ran on until it answered or timed out, work for nobody in a slot that requests were refused for. A cancelled attempt is judged by the time it was out, so that an upstream which hangs behind copies still loses its slots.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -14,7 +14,7 @@
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 FAULTS_IN_A_ROW = 2  # tell a failing upstream from one broken connection or answer among good ones
-UNJUDGED = (api.Outcome.REJECTED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)  # tell nothing of an upstream
+UNJUDGED = (api.Outcome.REJECTED, api.Outcome.NOT_SENT)  # tell nothing of an upstream
 REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
 FIRST_SLOTS = 3.0  # a busy sidecar would fill one each in its first moment, and refuse till more open
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
@@ -241,7 +241,7 @@
         """How an attempt's end opens or closes its upstream's slots."""
         server, pool, outcome = attempt.server, attempt.server.pool, attempt.ended
         slow_us = self.half_aim_us(class_index)
-        load = min(2.0, elapsed_us / slow_us) if outcome is api.Outcome.OK else 2.0
+        load = min(2.0, elapsed_us / slow_us) if outcome in (api.Outcome.OK, api.Outcome.CANCELLED) else 2.0
         pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / self.mean_us[class_index]
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT, api.Outcome.FULL):
@@ -388,6 +388,7 @@
             index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
             self.mean_us[index] = max(1.0, mean_us + (event.elapsed_us - mean_us) / 8)
         if event.final or request.done:
+            self.cancel_losers(request)
             self.close(request)
         elif request.out() == 0:
             # hazard: when all upstreams are slow at once, time-outs double the load that keeps them slow
@@ -396,6 +397,12 @@
             else:
                 self.finish(request)
 
+    def cancel_losers(self, request: Request) -> None:
+        """An attempt that lost to its copy is work for nobody, and holds a slot that others wait for."""
+        if self.settings.cancel and not request.done:
+            self.actions.extend([api.Cancel(request.event.request, number)
+                                 for number, attempt in enumerate(request.attempts) if attempt.ended is None])
+
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -6,6 +6,7 @@
 
 from glenkeel.balance import FIRST_SLOTS
 from glenkeel.interface import (
+    Cancel,
     Fail,
     ListKind,
     Log,
@@ -273,6 +274,32 @@
     assert world.answer(request) is None and world.owed[request].answers == 1
 
 
+def late_and_copied(world: World) -> int:
+    """A request whose first attempt is late and whose copy has answered."""
+    request = world.arrive(READ)
+    world.advance(200_000)
+    assert len(world.sends(request)) == 2
+    world.end(request, 1, Outcome.OK)
+    return request
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_an_attempt_that_lost_to_its_copy_is_cancelled_where_that_is_allowed(cancel: bool) -> None:
+    world = ready_world(cancel=cancel)
+    request = late_and_copied(world)
+    cancelled = [a for a in world.log if isinstance(a, Cancel)]
+    assert cancelled == ([Cancel(request, 0)] if cancel else [])
+
+
+def test_an_upstream_whose_attempts_lose_to_copies_is_drawn_less() -> None:
+    world = ready_world()
+    request = late_and_copied(world)
+    slow = world.sends(request)[0].upstream
+    before = world.balancer.servers[slow].window
+    world.end(request, 0, Outcome.CANCELLED)
+    assert world.balancer.servers[slow].window < before and world.balancer.servers[slow].pace > 1
+
+
 @pytest.mark.parametrize(("class_index", "second_copies"), [(PAY, True), (READ, False)])
 def test_no_copy_where_none_is_allowed(class_index: int, second_copies: bool) -> None:
     world = ready_world(second_copies=second_copies)
