End the reading of an answer or request whose headers have no end

Cause: an upstream's answer of a megabyte of headers was read to its end, each header a call, while all other answers waited for the event loop.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -95,7 +95,7 @@
         self.begun_us = 0
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.size = 0
+        self.size = self.head = 0  # bytes in all, and of headers
         self.body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,6 +125,9 @@
             return
         if name.lower() == b"transfer-encoding":
             raise Reject(400, "no chunked requests")
+        self.head += len(name) + len(value)
+        if self.head > LONGEST_HEAD:
+            raise Reject(413, "the head is too long")
         self.headers.append((name, value))
 
     def on_body(self, data: bytes) -> None:
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 LONGEST_BODY = 64 * 1024
+LONGEST_HEAD = 64 * 1024  # an answer's headers; a megabyte of them takes 40 ms to read, and all others wait
 LONGEST_ANSWER = 1024 * 1024  # with its head and framing
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 UPSTREAMS_OWN = (408, 429)  # of 4xx, those that speak of the upstream's state and not of the request
@@ -74,6 +75,7 @@
         self.content_type = b""
         self.body = bytearray()
         self.received = 0
+        self.head = 0  # bytes of headers
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -112,7 +114,7 @@
         self.status = 0
         self.content_type = b""
         self.body = bytearray()
-        self.received = 0
+        self.received = self.head = 0
         self.transport.write(attempt.data)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
@@ -126,6 +128,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.complete:
             return
+        self.head += len(name) + len(value)
+        if self.head > LONGEST_HEAD:
+            raise ValueError("the answer's head is too long")
         name = name.lower()
         if name == b"x-not-run":
             self.not_run = value.strip() == b"1"
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -76,6 +76,7 @@
     (b"noise\r\n\r\n", 500, 1),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"x" * 70_000, 500, 1),
     (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 1_100_000, 500, 1),
+    (OK.replace(b"\r\n", b"\r\n" + b"X-Pad: pppp\r\n" * 10_000, 1), 500, 1),
     (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200, 1),
 ])
 def test_an_unsafe_request_is_repeated_only_if_it_never_ran(first: bytes, expected: int,
