Notice a silent discovery in 3 s and call again in time for a drain it held back

Cause: silence was noticed after 4.5 s and a call that was never answered was given 4.5 s more, 9.5 s in all, while what discovery has to tell counts as told after 6 s and leaves 1 s. Now a second call is out by 6 s.

Shown with a driven clock: two calls within 6.9 s, one before.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -17,7 +17,10 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 4.5  # an empty line comes every 2 s
+# What discovery has to tell counts as told after 6 s and allows 1 s more, whether it arrived or not: within
+# that time a silent watch must be noticed and called for twice.
+SILENCE_S = 3.0  # an empty line comes every 2 s
+ANSWER_S = 2.5  # of a call that has not been answered: the first line may be an empty one
 CALL_AGAIN_S = 0.25  # the agent answers at once and at no cost; short beside the 1 s that a drain leaves
 LONGEST_LINE = 4 * 1024 * 1024
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
@@ -77,6 +80,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.pending = b""
+        self.answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -89,6 +93,7 @@
                         % (self.discovery.version, host.encode(), port))
 
     def data_received(self, data: bytes) -> None:
+        self.answered = True
         try:
             self.parser.feed_data(data)
         except Exception as error:
@@ -164,7 +169,7 @@
         if active:
             self.watch = Watch(self)
             self.heard()
-            self.timer = self.loop.call_later(SILENCE_S, self.check)
+            self.timer = self.loop.call_later(ANSWER_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
     def stop(self) -> None:
@@ -183,14 +188,16 @@
             self.ended(watch)
 
     def heard(self) -> None:
-        self.heard_at = time.monotonic()
+        self.heard_at = self.loop.time()
 
     def check(self) -> None:
         """Hazard: a machine that is cut off says nothing, and its watch would stay open for ever."""
-        left = self.heard_at + SILENCE_S - time.monotonic()
+        if self.watch is None:
+            return
+        left = self.heard_at + (SILENCE_S if self.watch.answered else ANSWER_S) - self.loop.time()
         if left > 0:
             self.timer = self.loop.call_later(left, self.check)
-        elif self.watch is not None:
+        else:
             log.warning("the watch is silent")
             self.watch.fail()
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
 from glenkeel.balance import Balancer
 from glenkeel.interface import Event, Outcome, Settings
+from plovertrail.discovery import Directory
+from plovertrail.discovery import Discovery as Discovering
 from plovertrail.host import Answer, Call, Host, Result, Verdict
 from plovertrail.server import Client, Server
 from plovertrail.upstreams import Attempt, Connection, Pool
@@ -497,6 +500,53 @@
     run(test)
 
 
+class DrivenLoop:
+    """Time that moves when told to; what is dialled never comes up."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.timers: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
+        self.dials = 0
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, delay: float, what: Callable[..., None], *args: object) -> Any:
+        timer = (self.now + delay, len(self.timers), what, args)
+        self.timers.append(timer)
+        return SimpleNamespace(cancel=lambda: self.timers.remove(timer) if timer in self.timers else None)
+
+    def create_task(self, task: Coroutine[Any, Any, None]) -> Any:
+        task.close()
+        self.dials += 1
+        return SimpleNamespace(cancel=lambda: None)
+
+    def advance(self, to: float) -> None:
+        while self.timers and min(self.timers)[0] <= to:
+            timer = min(self.timers)
+            self.timers.remove(timer)
+            self.now = max(self.now, timer[0])
+            timer[2](*timer[3])
+        self.now = to
+
+
+def test_a_silent_discovery_is_called_for_twice_before_a_drain_it_holds_back_is_a_breach() -> None:
+    async def test() -> None:
+        loop = DrivenLoop()
+        discovery = Discovering(("127.0.0.1", 1), Directory(["a"], ["m"]), lambda event, addresses: None)
+        discovery.loop = cast(asyncio.AbstractEventLoop, loop)
+        discovery.keep()
+        assert discovery.watch is not None
+        discovery.watch.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+        before = loop.dials
+        loop.advance(2.5)  # an empty line is late
+        assert loop.dials == before
+        loop.advance(6.9)  # told at 6 s, whether it arrived or not, and 1 s of grace
+        assert loop.dials == before + 2
+
+    run(test)
+
+
 def test_up_says_200_only_when_there_is_an_upstream() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
