Learn how long an idle connection can be trusted from the requests lost on them

Cause: upstreams may end an idle connection sooner than the settings say and tell nothing. A broken request of the unsafe class can only fail.

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -18,6 +18,11 @@
 LONGEST_HEAD = 64 * 1024  # an answer's headers; a megabyte of them takes 40 ms to read, and all others wait
 LONGEST_ANSWER = 1024 * 1024  # with its head and framing
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
+YOUNG_US = 25_000  # connections idle for less are in steady use
+MOST_LOST = 0.25  # a share of lost requests well above what a bad network takes of any connection
+LOST_WEIGHT = 1 / 16  # five losses among a dozen uses tell
+LOST_FADING = 0.99  # a sweep, so a lesson halves in 7 s
+SWEEP_S = 0.1
 UPSTREAMS_OWN = (408, 429)  # of 4xx, those that speak of the upstream's state and not of the request
 Address = tuple[str, int]
 
@@ -32,6 +37,32 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+class Trust:
+    """How long an idle connection can be used again, learnt from how those that were have fared.
+
+    Upstreams may end an idle connection sooner than the settings say and tell nothing: the next request on it
+    is lost. Resets that strike young connections alike teach nothing, as the youngest are always trusted.
+    """
+
+    def __init__(self, longest_us: int) -> None:
+        self.longest_us = longest_us
+        self.lost = [0.0] * (longest_us // YOUNG_US).bit_length()  # share of late, by the doubling of the age
+
+    def limit_us(self) -> int:
+        doublings = next((i for i, lost in enumerate(self.lost) if lost > MOST_LOST), len(self.lost))
+        return min(self.longest_us, YOUNG_US << doublings)
+
+    def used(self, age_us: int, lost: bool) -> None:
+        """A connection that had been idle for so long was used again, and has lost its request or not."""
+        doubling = (age_us // YOUNG_US).bit_length() - 1
+        if 0 <= doubling < len(self.lost):
+            self.lost[doubling] += (lost - self.lost[doubling]) * LOST_WEIGHT
+
+    def fade(self) -> None:
+        """What is not tried is not learnt, so an old lesson is tested again in time."""
+        self.lost = [lost * LOST_FADING for lost in self.lost]
+
+
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
@@ -66,7 +97,8 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.parser: httptools.HttpResponseParser | None = None
-        self.idle_since_us = 0
+        self.idle_since_us = 0  # 0 until it is first put away
+        self.idled_us = -1  # before the attempt that it carries; -1 for its first
         self.closed = False
         self.unsent = False  # part of what was written is still with us
         self.complete = False  # the answer is whole
@@ -115,6 +147,7 @@
         self.content_type = b""
         self.body = bytearray()
         self.received = self.head = 0
+        self.idled_us = clock_us() - self.idle_since_us if self.idle_since_us else -1
         self.transport.write(attempt.data)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
@@ -186,6 +219,7 @@
 
     def finish(self, outcome: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
+        self.pool.trust.used(self.idled_us, outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
         if outcome is Outcome.OK:
             result = Result(outcome, bytes(self.body), self.content_type)
@@ -218,17 +252,17 @@
 
     def __init__(self, idle_us: int, dial_timeout_us: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self.keep_us = max(0, idle_us - IDLE_MARGIN_US)
+        self.trust = Trust(max(0, idle_us - IDLE_MARGIN_US))
         self.dial_timeout_us = dial_timeout_us
         self.idle: dict[Address, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
-        self.sweeper = self.loop.call_later(1.0, self.sweep)
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
     def start(self, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
         data = request_head(call, address, timeout_us) + call.body
         attempt = Attempt(self, address, data, ended)
-        oldest_us = clock_us() - self.keep_us
+        oldest_us = clock_us() - self.trust.limit_us()
         idle = self.idle.get(address, [])
         while idle:
             connection = idle[-1]
@@ -282,8 +316,9 @@
 
     def sweep(self) -> None:
         """Close what upstreams are about to close."""
-        self.sweeper = self.loop.call_later(0.1, self.sweep)
-        oldest_us = clock_us() - self.keep_us
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        self.trust.fade()
+        oldest_us = clock_us() - self.trust.limit_us()
         for connections in list(self.idle.values()):
             for connection in [c for c in connections if c.idle_since_us <= oldest_us]:
                 connection.close()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,9 +14,9 @@
 from glenkeel.interface import Event, Outcome, Settings
 from plovertrail.discovery import Directory
 from plovertrail.discovery import Discovery as Discovering
-from plovertrail.host import Answer, Call, Host, Result, Verdict
+from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
 from plovertrail.server import Client, Server
-from plovertrail.upstreams import Attempt, Connection, Pool
+from plovertrail.upstreams import Attempt, Connection, Pool, Trust
 from tests.net import (
     NOT_RUN,
     OK,
@@ -208,6 +208,53 @@
     run(test)
 
 
+def test_connections_that_lose_requests_once_idle_for_some_time_are_not_used_so_late() -> None:
+    trust = Trust(4_700_000)
+    for _ in range(40):  # one in ten is lost at any age: no lesson
+        for age_us in (10_000, 60_000, 110_000, 300_000):
+            for number in range(10):
+                trust.used(age_us, number == 0)
+    assert trust.limit_us() == 4_700_000
+    for _ in range(10):
+        trust.used(60_000, False)
+        trust.used(110_000, True)
+    assert 60_000 < trust.limit_us() <= 110_000
+    for _ in range(600):  # a minute's sweeps
+        trust.fade()
+    assert trust.limit_us() == 4_700_000
+
+
+@pytest.mark.parametrize("longest_us", [0, 10_000, 25_000, 99_000, 60_000_000])
+def test_no_connection_is_trusted_for_longer_than_the_settings_say(longest_us: int) -> None:
+    trust = Trust(longest_us)
+    for age_us in (-1, 0, 24_999, 25_000, longest_us, 2 * longest_us):
+        for _ in range(20):
+            trust.used(age_us, True)
+            assert 0 <= trust.limit_us() <= longest_us
+
+
+def test_requests_lost_on_idle_connections_end_the_others_that_were_idle_as_long() -> None:
+    async def test() -> None:
+        pool, address = Pool(60_000_000, 10_000_000), ("127.0.0.1", 1)
+        pool.sweeper.cancel()
+        with socket.socket() as sock:
+            connection = Connection(pool, address, sock)
+            connection.idle_since_us = clock_us() - 60_000
+            pool.idle[address] = [connection]
+            pool.sweep()
+            pool.sweeper.cancel()
+            assert pool.idle == {address: [connection]}
+            for _ in range(10):
+                used_again = Connection(pool, address, sock)
+                used_again.idled_us, used_again.closed = 60_000, True
+                used_again.finish(Outcome.RESET)
+            pool.sweep()
+            pool.sweeper.cancel()
+            assert pool.idle == {} and connection.closed
+
+    run(test)
+
+
 def test_an_idle_connection_is_closed_before_the_upstream_would() -> None:
     async def test() -> None:
         ended = asyncio.Event()
