Add the operators' address with readiness, drain and its end

Design: one small object (lifecycle.py) owns the state, and /up, /_ready, the closing of connections and the end ask it. Stopping wins over draining. The operators' calls have an address, a cap and a time limit of their own (admin.py), so that callers who stall take none of the clients' descriptors.

Not taken: a thread for the operators' calls. Nothing in the loop blocks for anything near the second a caller waits, and a thread would share the state it reads. Not taken either: closing idle connections at once, which costs the clients that are just about to use them a second try.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -12,8 +12,10 @@
 
 from glenkeel.wire import WireError
 from plovertrail import config
+from plovertrail.admin import Admin, Route
 from plovertrail.discovery import Directory, Discovery
-from plovertrail.host import Host
+from plovertrail.host import Host, clock_us
+from plovertrail.lifecycle import Lifecycle
 from plovertrail.server import Server
 from plovertrail.upstreams import Pool
 
@@ -44,7 +46,6 @@
 async def serve(settings: config.Config, stop: asyncio.Event,
                 prepared: Callable[[Discovery], None] = lambda discovery: None) -> None:
     """Serve until told to stop, then answer what comes and what is open; `prepared` gets the discovery."""
-    loop = asyncio.get_running_loop()
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
     host = Host(settings.settings, settings.seed, pool)
     directory = Directory(settings.zones, settings.kinds)
@@ -56,17 +57,37 @@
         discovery.keep()
     host.start()
     prepared(discovery)
-    server = Server(host, settings.settings, settings.sockets // 2)
+    lifecycle = Lifecycle()
+    server = Server(host, settings.settings, settings.sockets // 2, lifecycle)
+    if settings.admin is not None:
+        await Admin(operators_calls(server, lifecycle)).listen(settings.admin)
+    lifecycle.start()
     await server.listen(settings.listen)
     await stop.wait()
-    started = loop.time()
-    server.stop_idle()
+    lifecycle.stop()
+    server.close_idle(clock_us())
     await asyncio.sleep(STILL_COMING_S)
     server.stop_listening()
-    server.stop_idle()
-    while server.clients and loop.time() < started + LONGEST_STOP_S:
+    while server.clients and lifecycle.closing_for_s < LONGEST_STOP_S:
+        server.close_idle(clock_us())
         await asyncio.sleep(0.01)
-        server.stop_idle()
+
+
+def operators_calls(server: Server, lifecycle: Lifecycle) -> dict[bytes, Route]:
+    """The calls at the admin address."""
+    def ready() -> tuple[bool, str]:
+        return server.ready, lifecycle.state.value if server.host.ready else "no upstream"
+
+    def drain() -> tuple[bool, str]:
+        lifecycle.drain()
+        return True, lifecycle.state.value
+
+    def undrain() -> tuple[bool, str]:
+        lifecycle.undrain()
+        return True, lifecycle.state.value
+
+    return {b"/_ready": Route(b"GET", ready), b"/_lameduck/on": Route(b"POST", drain),
+            b"/_lameduck/off": Route(b"POST", undrain)}
 
 
 def reload(path: str, discovery: Discovery) -> None:
@@ -93,7 +114,7 @@
     logging.getLogger().handlers[0].addFilter(RateLimit())
     try:
         path = os.environ["BALANCER_CONFIG"]
-        settings = config.load(path)
+        settings = config.load(path, os.environ.get("BALANCER_ADMIN"))
     except UNREADABLE as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -24,6 +24,7 @@
     kinds: list[str]
     idle_us: int  # upstreams close a connection that has been idle for this long
     known: Any  # the upstream list as last had, in discovery's form
+    admin: tuple[str, int] | None = None  # where operators call
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
@@ -50,12 +51,16 @@
     return host, int(port)
 
 
-def load(path: str) -> Config:
-    """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed."""
+def load(path: str, admin: str | None = None) -> Config:
+    """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed.
+
+    `admin` is what the environment says of that address: of two processes that are told the same file, it
+    tells them apart, so it goes before the file."""
     with open(path, encoding="utf-8") as file:
         raw = json.load(file)
     settings = raw["settings"]
     pairs = flatten(settings)
+    admin = admin or raw.get("admin")
     return Config(
         listen=parse_address(raw["listen"]),
         discovery=parse_address(raw["discovery"]),
@@ -66,4 +71,5 @@
         kinds=list(settings["kinds"]),
         idle_us=int(float(pairs["bounds.conn-idle"])),
         known=raw.get("known"),
+        admin=parse_address(admin) if admin else None,
     )
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -9,6 +9,7 @@
 
 from glenkeel.interface import Settings
 from plovertrail.host import Answer, Call, Host, Verdict, clock_us
+from plovertrail.lifecycle import Lifecycle, State
 
 log = logging.getLogger(__name__)
 
@@ -16,6 +17,8 @@
 LONGEST_HEAD = 16 * 1024
 LONGEST_READ_US = 2_500_000  # for a request to come whole; strangers are owed an end 3 s after they connect
 CHECK_S = 0.1  # between looks at what clients have sent
+DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
+QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -83,6 +86,7 @@
         self.open = False  # a request has been taken and not answered
         self.ident = 0  # the host's name for it
         self.made_us = 0  # when it connected
+        self.quiet_us = 0  # since when it has been idle, if it is
         self.begun_us = 0  # when the message now being read began
         self.proven = False  # it has sent a proper request
         self.extra = False  # bytes came while a request was open
@@ -101,7 +105,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.made_us = clock_us()
+        self.made_us = self.quiet_us = clock_us()
         self.server.connected(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -201,7 +205,7 @@
         assert self.transport is not None
         if self.transport.is_closing():
             return
-        last = last or self.last or self.server.stopping
+        last = last or self.last or self.server.lifecycle.closing
         if last:
             head += b"Connection: close\r\n"
         data = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (status, REASONS[status], head, len(body))
@@ -213,6 +217,7 @@
             self.end()
         else:
             self.reset()
+            self.quiet_us = clock_us()
 
     def end(self) -> None:
         """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
@@ -248,17 +253,17 @@
 class Server:
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings, most_clients: int) -> None:
+    def __init__(self, host: Host, settings: Settings, most_clients: int, lifecycle: Lifecycle) -> None:
         self.host = host
+        self.lifecycle = lifecycle
         self.catalogue = Catalogue(settings)
         self.most_clients = most_clients
         self.clients: dict[Client, None] = {}  # in the order of their coming
-        self.stopping = False
         self.listener: asyncio.Server | None = None
 
     @property
     def ready(self) -> bool:
-        return self.host.ready and not self.stopping
+        return self.host.ready and self.lifecycle.serving
 
     async def listen(self, address: tuple[str, int]) -> None:
         loop = asyncio.get_running_loop()
@@ -280,12 +285,13 @@
         now_us = clock_us()
         for client in list(self.clients):
             client.check(now_us)
+        if self.lifecycle.state is State.DRAINING and self.lifecycle.closing_for_s > DRAIN_IDLE_S:
+            self.close_idle(now_us - QUIET_US)
 
-    def stop_idle(self) -> None:
-        """From now on each answer is the last one of its connection; idle connections close."""
-        self.stopping = True
+    def close_idle(self, quiet_since_us: int) -> None:
+        """Close the connections that have been idle since then."""
         for client in list(self.clients):
-            if client.idle:
+            if client.idle and client.quiet_us <= quiet_since_us:
                 client.close()
 
     def stop_listening(self) -> None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -161,13 +161,19 @@
     port: int
     stop: asyncio.Event
     task: asyncio.Task[None]
+    admin_port: int
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
-    async def ask(self, data: bytes) -> tuple[bytes, bytes]:
+    async def call(self, method: str, path: str) -> int:
+        """An operator's call; the status of its answer."""
+        head, _ = await self.ask(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode(), self.admin_port)
+        return int(head.split(b" ")[1])
+
+    async def ask(self, data: bytes, port: int = 0) -> tuple[bytes, bytes]:
         """One request on a connection of its own; head and body of the answer."""
-        reader, writer = await self.connect()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.port)
         try:
             writer.write(data)
             async with asyncio.timeout(PATIENCE_S):
@@ -188,10 +194,10 @@
                               "max_retry_after_us": 1_000_000, "list_on_request": discovery is not None,
                               "ask_within_us": 10_000_000}
     known = known or listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
-    port, stop = free_port(), asyncio.Event()
+    port, admin_port, stop = free_port(), free_port(), asyncio.Event()
     config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", discovery.port if discovery else 1),
                     seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
-                    idle_us=idle_us, known=known)
+                    idle_us=idle_us, known=known, admin=("127.0.0.1", admin_port))
     task = asyncio.create_task(serve(config, stop))
     try:
         async with asyncio.timeout(PATIENCE_S):
@@ -203,7 +209,7 @@
                 except ConnectionRefusedError:
                     assert not task.done()
                     await asyncio.sleep(0.01)
-        yield Sidecar(port, stop, task)
+        yield Sidecar(port, stop, task, admin_port)
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,140 @@
+"""The operators' calls over loopback sockets: readiness, drain and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from plovertrail import admin
+from plovertrail.config import load
+from plovertrail.lifecycle import Lifecycle, State
+from tests.net import OK, Upstream, answering, read_message, request, sidecar
+from tests.test_program import configuration
+from tests.test_sidecar import run, status
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_stopping_wins_over_draining_and_a_drain_told_twice_goes_on_from_the_first() -> None:
+    now = [0.0]
+    lifecycle = Lifecycle(lambda: now[0])
+    assert lifecycle.state is State.STARTING and not lifecycle.serving and not lifecycle.closing
+    lifecycle.undrain()  # off without on
+    lifecycle.start()
+    assert lifecycle.serving and lifecycle.closing_for_s == 0.0
+    lifecycle.drain()
+    now[0] = 2.0
+    lifecycle.drain()
+    assert lifecycle.state is State.DRAINING and lifecycle.closing and lifecycle.closing_for_s == 2.0
+    lifecycle.undrain()
+    assert lifecycle.serving and lifecycle.closing_for_s == 0.0
+    lifecycle.drain()
+    lifecycle.stop()
+    lifecycle.undrain()
+    now[0] = 3.0
+    assert lifecycle.state is State.STOPPING and lifecycle.closing and lifecycle.closing_for_s == 1.0
+
+
+def test_a_drain_started_before_there_is_a_list_ends_where_it_began() -> None:
+    lifecycle = Lifecycle()
+    lifecycle.drain()
+    lifecycle.start()
+    assert lifecycle.state is State.DRAINING
+    lifecycle.undrain()
+    assert lifecycle.serving
+
+
+def test_a_drained_sidecar_says_no_serves_on_and_comes_back() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            assert await it.call("GET", "/_ready") == 200
+            assert status(await it.ask(UP)) == 200
+            open_reader, open_writer = await it.connect()
+            open_writer.write(request())
+            assert b"close" not in (await read_message(open_reader))[0]
+            idle_reader, idle_writer = await it.connect()
+            for _ in range(2):
+                assert await it.call("POST", "/_lameduck/on") == 200
+                assert status(await it.ask(UP)) == 503 and await it.call("GET", "/_ready") == 503
+            open_writer.write(request(ident="2"))  # its last one
+            head, body = await read_message(open_reader)
+            assert body == b"done" and b"Connection: close" in head
+            assert (await it.ask(request(ident="3")))[1] == b"done"  # one that crossed the no
+            async with asyncio.timeout(3.5):
+                assert await open_reader.read() == b"" and await idle_reader.read() == b""
+            for _ in range(2):
+                assert await it.call("POST", "/_lameduck/off") == 200
+                assert status(await it.ask(UP)) == 200 and await it.call("GET", "/_ready") == 200
+            head, body = await it.ask(request(ident="4"))
+            assert body == b"done" and b"Connection: close" not in head
+            for writer in (open_writer, idle_writer):
+                writer.close()
+
+    run(test)
+
+
+def test_sigterm_ends_a_drained_sidecar_and_the_end_of_the_drain_does_not_call_clients_back() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            assert await it.call("POST", "/_lameduck/on") == 200
+            it.stop.set()
+            await asyncio.sleep(0)
+            assert await it.call("POST", "/_lameduck/off") == 200
+            assert status(await it.ask(UP)) == 503
+            await it.task
+
+    run(test)
+
+
+@pytest.mark.parametrize(("data", "expected"), [
+    (b"GET /unknown HTTP/1.1\r\n\r\n", 404),
+    (b"GET /read/it HTTP/1.1\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n", 404),
+    (b"POST /_ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"GET /_lameduck/on HTTP/1.1\r\n\r\n", 405),
+    (b"noise\r\n\r\n", 400),
+    (b"\x00\xff\r\n\r\n", 400),
+    (b"POST /_lameduck/on HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", 400),
+    (b"GET /_ready HTTP/1.1\r\nX-Endless: " + b"x" * 9000, 413),
+    (b"GET /_ready?x=1 HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    (b"POST /_lameduck/off HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 200),
+])
+def test_a_call_that_is_not_one_gets_an_error_and_changes_nothing(data: bytes, expected: int) -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await asyncio.open_connection("127.0.0.1", it.admin_port)
+            writer.write(data)
+            answer = await reader.read()
+            writer.close()
+            assert int(answer.split(b" ")[1]) == expected and b"Connection: close" in answer
+            assert status(await it.ask(UP)) == 200
+
+    run(test)
+
+
+def test_callers_that_finish_no_call_hold_up_nobody_and_are_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(admin, "LONGEST_CALL_S", 0.5)
+
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            stalled = [await asyncio.open_connection("127.0.0.1", it.admin_port) for _ in range(40)]
+            for _, writer in stalled:
+                writer.write(b"POST /_lameduck/on HT")
+            assert await it.call("GET", "/_ready") == 200
+            ends = [await reader.read() for reader, _ in stalled[-3:]]
+            assert all(end.startswith(b"HTTP/1.1 408 ") for end in ends)
+            for _, writer in stalled:
+                writer.close()
+            assert status(await it.ask(UP)) == 200
+
+    run(test)
+
+
+def test_the_admin_address_is_the_environments_else_the_files(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+    assert load(str(path)).admin is None
+    path.write_text(json.dumps(json.loads(path.read_text()) | {"admin": "127.0.0.1:15000"}))
+    assert load(str(path)).admin == ("127.0.0.1", 15000)
+    assert load(str(path), "127.0.0.1:15001").admin == ("127.0.0.1", 15001)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,6 +15,7 @@
 from plovertrail.discovery import Directory
 from plovertrail.discovery import Discovery as Discovering
 from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
+from plovertrail.lifecycle import Lifecycle
 from plovertrail.server import Client, Server
 from plovertrail.upstreams import Attempt, Connection, Pool, Trust
 from tests.net import (
@@ -379,7 +380,7 @@
             return 1
 
     settings = Settings(classes())
-    client = Client(Server(cast(Host, Taker()), settings, 100))
+    client = Client(Server(cast(Host, Taker()), settings, 100, Lifecycle()))
     client.connection_made(Sink())
     return client
 
