Let a new process take over the clients' socket, and the old one end beside it

Design: the socket that BALANCER_SOCKET_FD names is adopted and checked to be a listening one. The new process accepts and says yes only once discovery has answered its watch (an empty line is enough: nothing has changed since the list it knows), or after 4.5 s of the 6 s it has, from the list it was started with. On SIGTERM the old process closes its copy of the socket at once, never by shutdown, and leaves idle connections open to carry one last request each till shortly before SIGKILL is due. Without an inherited socket it starts and stops as before. An address that is taken ends the start with one line.

Not taken: SO_REUSEPORT, since connections queued at the socket that closes would be lost; handing what was learnt over through TMPDIR, until a loss is measured that needs it.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -24,6 +25,9 @@
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
 LINES_A_SECOND = 5
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
+FRESH_LIST_S = 4.5  # a process that takes over from another has 6 s to say yes
+KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline, which counts for 3 s at most
+LAST_ANSWER_S = 0.4  # with the longest aim, what a last request is left for its answer
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
 
 
@@ -44,7 +48,8 @@
 
 
 async def serve(settings: config.Config, stop: asyncio.Event,
-                prepared: Callable[[Discovery], None] = lambda discovery: None) -> None:
+                prepared: Callable[[Discovery], None] = lambda discovery: None,
+                inherited: socket.socket | None = None) -> None:
     """Serve until told to stop, then answer what comes and what is open; `prepared` gets the discovery."""
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
     host = Host(settings.settings, settings.seed, pool)
@@ -61,15 +66,46 @@
     server = Server(host, settings.settings, settings.sockets // 2, lifecycle)
     if settings.admin is not None:
         await Admin(operators_calls(server, lifecycle)).listen(settings.admin)
+    if inherited is not None:
+        await take_over(discovery, stop)
     lifecycle.start()
-    await server.listen(settings.listen)
+    await server.listen(inherited or settings.listen)
     await stop.wait()
     lifecycle.stop()
+    await (end_alone(server) if inherited is None else end_beside(server))
+    while server.clients and lifecycle.closing_for_s < LONGEST_STOP_S:
+        server.close_idle(clock_us())
+        await asyncio.sleep(0.01)
+
+
+async def take_over(discovery: Discovery, stop: asyncio.Event) -> None:
+    """Until the list is one to trust. Hazard: what another process knew at its start may be long out of date,
+    and clients that are let in before would be sent to upstreams that have gone."""
+    if discovery.watch is None:
+        discovery.subscribe(True)  # at once: the module would spread its first call over the fleet's seconds
+    waits = [asyncio.create_task(event.wait()) for event in (discovery.fresh, stop)]
+    await asyncio.wait(waits, timeout=FRESH_LIST_S, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if not discovery.fresh.is_set():
+        log.warning("discovery is silent: starting from the list as it was known")
+
+
+async def end_alone(server: Server) -> None:
+    """Nobody else takes clients here: the listener stays open while they may still come."""
     server.close_idle(clock_us())
     await asyncio.sleep(STILL_COMING_S)
     server.stop_listening()
-    while server.clients and lifecycle.closing_for_s < LONGEST_STOP_S:
-        server.close_idle(clock_us())
+
+
+async def end_beside(server: Server) -> None:
+    """Another process has the listening socket too. Hazard: what would be accepted from now on is better off
+    there; and an idle connection closed at once would cost its next request, so each may carry a last one."""
+    server.stop_listening()
+    classes = server.host.settings.classes
+    killed_s = min(3.0, max(kind.deadline_us for kind in classes) / 1e6) + KILL_GAP_S
+    idle_s = killed_s - max(kind.aim_us for kind in classes) / 1e6 - LAST_ANSWER_S
+    while server.clients and server.lifecycle.closing_for_s < idle_s:
         await asyncio.sleep(0.01)
 
 
@@ -100,13 +136,13 @@
     discovery.move(address)
 
 
-async def run(settings: config.Config, path: str) -> None:
+async def run(settings: config.Config, path: str, inherited: socket.socket | None) -> None:
     """Serve until SIGTERM; SIGHUP means that the file has been replaced."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     await serve(settings, stop,
-                lambda discovery: loop.add_signal_handler(signal.SIGHUP, reload, path, discovery))
+                lambda discovery: loop.add_signal_handler(signal.SIGHUP, reload, path, discovery), inherited)
 
 
 def main() -> int:
@@ -115,10 +151,16 @@
     try:
         path = os.environ["BALANCER_CONFIG"]
         settings = config.load(path, os.environ.get("BALANCER_ADMIN"))
+        text = os.environ.get("BALANCER_SOCKET_FD")
+        inherited = config.inherited_socket(text) if text else None
     except UNREADABLE as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
-    asyncio.run(run(settings, path))
+    try:
+        asyncio.run(run(settings, path, inherited))
+    except OSError as error:
+        print(f"plovertrail: cannot start: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -51,6 +52,19 @@
     return host, int(port)
 
 
+def inherited_socket(text: str) -> socket.socket:
+    """The clients' listening socket, which the platform holds; raises ValueError on anything else."""
+    if not text.isdecimal():
+        raise ValueError(f"BALANCER_SOCKET_FD: expected a descriptor's number, got {text!r}")
+    try:
+        sock = socket.socket(fileno=int(text))
+    except (OSError, OverflowError) as error:
+        raise ValueError(f"BALANCER_SOCKET_FD: descriptor {text} is no socket: {error}") from None
+    if sock.type != socket.SOCK_STREAM or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise ValueError(f"BALANCER_SOCKET_FD: descriptor {text} is no listening socket")
+    return sock
+
+
 def load(path: str, admin: str | None = None) -> Config:
     """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed.
 
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -110,6 +110,7 @@
         for line in lines:
             if line.strip():
                 self.discovery.changed(json.loads(line))
+            self.discovery.fresh.set()  # an empty line tells that nothing has changed
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -139,6 +140,7 @@
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
+        self.fresh = asyncio.Event()  # it has answered once: the list is no longer what others remembered
         self.kept = False  # the watch is called for again whenever it ends
 
     def cached(self, lines: Any) -> None:
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 
 import httptools
 
@@ -16,6 +17,7 @@
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
 LONGEST_READ_US = 2_500_000  # for a request to come whole; strangers are owed an end 3 s after they connect
+BACKLOG = 512  # connections not yet accepted
 CHECK_S = 0.1  # between looks at what clients have sent
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
@@ -265,9 +267,13 @@
     def ready(self) -> bool:
         return self.host.ready and self.lifecycle.serving
 
-    async def listen(self, address: tuple[str, int]) -> None:
+    async def listen(self, where: tuple[str, int] | socket.socket) -> None:
+        """Take clients at an address of our own, or from a socket that other processes hold too."""
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Client(self), *address, backlog=512)
+        if isinstance(where, socket.socket):
+            self.listener = await loop.create_server(lambda: Client(self), sock=where, backlog=BACKLOG)
+        else:
+            self.listener = await loop.create_server(lambda: Client(self), *where, backlog=BACKLOG)
         self.check()
 
     def connected(self, client: Client) -> None:
@@ -295,5 +301,6 @@
                 client.close()
 
     def stop_listening(self) -> None:
+        """Hazard: a shutdown would end the socket for all who hold it; only this copy is closed."""
         if self.listener is not None:
             self.listener.close()
--- a/tests/net.py
+++ b/tests/net.py
@@ -184,8 +184,9 @@
 
 @asynccontextmanager
 async def sidecar(*upstreams: Upstream, discovery: Discovery | None = None, idle_us: int = 60_000_000,
-                  known: dict[str, Any] | None = None, **changes: Any) -> AsyncIterator[Sidecar]:
-    """A sidecar whose known list holds these upstreams."""
+                  known: dict[str, Any] | None = None, inherited: socket.socket | None = None,
+                  **changes: Any) -> AsyncIterator[Sidecar]:
+    """A sidecar whose known list holds these upstreams; with `inherited` one that may not be ready yet."""
     for upstream in upstreams:
         await upstream.start()
     if discovery is not None:
@@ -198,10 +199,12 @@
     config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", discovery.port if discovery else 1),
                     seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
                     idle_us=idle_us, known=known, admin=("127.0.0.1", admin_port))
-    task = asyncio.create_task(serve(config, stop))
+    if inherited is not None:
+        port = inherited.getsockname()[1]
+    task = asyncio.create_task(serve(config, stop, inherited=inherited and inherited.dup()))
     try:
         async with asyncio.timeout(PATIENCE_S):
-            while True:
+            while inherited is None:
                 try:
                     _, writer = await asyncio.open_connection("127.0.0.1", port)
                     writer.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -58,11 +58,13 @@
 
 
 @contextmanager
-def program(path: Path) -> Iterator[subprocess.Popen[bytes]]:
+def program(path: Path, keep: tuple[int, ...] = (), **told: str) -> Iterator[subprocess.Popen[bytes]]:
+    """The running program, which is told more by its environment and keeps these descriptors."""
     subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=600)
     plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
     process = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, stderr=subprocess.PIPE,
-                               env=plain | {"BALANCER_CONFIG": str(path)})
+                               pass_fds=keep,
+                               env=plain | {"BALANCER_CONFIG": str(path)} | told)
     try:
         yield process
     finally:
--- /dev/null
+++ b/tests/test_replacement.py
@@ -0,0 +1,162 @@
+"""A process that takes over: the inherited socket, the list it trusts, and the end of the old process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from plovertrail import __main__ as program_module
+from plovertrail.config import inherited_socket
+from tests.net import (
+    OK,
+    PATIENCE_S,
+    Discovery,
+    Upstream,
+    answering,
+    entry,
+    listing,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
+from tests.test_program import configuration, program
+from tests.test_sidecar import run, status
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@contextlib.contextmanager
+def held_socket() -> Iterator[socket.socket]:
+    """The clients' listening socket, as the platform holds it."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(512)
+        yield sock
+
+
+def test_what_is_no_listening_socket_is_not_adopted() -> None:
+    with tempfile.TemporaryFile() as file, socket.socket() as plain, held_socket() as held:
+        for text in ("x", "-1", "", "1e3", "999999", "9" * 30, str(file.fileno())):
+            with pytest.raises(ValueError, match="BALANCER_SOCKET_FD"):
+                inherited_socket(text)
+        with pytest.raises(ValueError, match="no listening socket"):
+            inherited_socket(str(os.dup(plain.fileno())))
+        inherited_socket(str(os.dup(held.fileno()))).close()
+
+
+@pytest.mark.parametrize("text", ["seven", "0"])
+def test_a_socket_that_can_not_be_inherited_ends_it_with_one_line(tmp_path: Path, text: str) -> None:
+    with program(configuration(tmp_path), BALANCER_SOCKET_FD=text) as process:
+        _, errors = process.communicate(timeout=PATIENCE_S)
+        assert process.returncode == 2 and len(errors.splitlines()) == 1 and b"BALANCER_SOCKET_FD" in errors
+
+
+def test_a_successor_takes_clients_only_once_discovery_has_spoken() -> None:
+    async def test() -> None:
+        gone, upstream, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await upstream.start()
+        with held_socket() as held:
+            async with sidecar(gone, discovery=discovery, inherited=held) as it:
+                await discovery.watched()
+                waiting = asyncio.create_task(it.ask(request()))
+                assert await it.call("GET", "/_ready") == 503
+                assert not waiting.done() and not gone.requests
+                discovery.line(listing(entry("u9", upstream.port), rev=2))
+                assert status(await waiting) == 200
+                assert await it.call("GET", "/_ready") == 200
+                assert len(upstream.requests) == 1 and not gone.requests
+        upstream.stop()
+
+    run(test)
+
+
+def test_a_successor_with_a_silent_discovery_says_yes_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program_module, "FRESH_LIST_S", 0.2)
+
+    async def test() -> None:
+        with held_socket() as held:
+            async with sidecar(Upstream(answering(OK)), inherited=held) as it:
+                assert status(await it.ask(request())) == 200
+                assert await it.call("GET", "/_ready") == 200
+
+    run(test)
+
+
+def test_the_old_process_lets_go_of_the_socket_and_each_open_connection_carries_a_last_request() -> None:
+    async def test() -> None:
+        upstream, second = Upstream(answering(OK)), Upstream(answering(OK))
+        old_discovery, new_discovery = Discovery(), Discovery()
+        with held_socket() as held:
+            async with (sidecar(upstream, discovery=old_discovery, inherited=held) as old,
+                        sidecar(second, discovery=new_discovery, inherited=held) as new):
+                await old_discovery.watched()
+                old_discovery.line(listing(rev=1, full=False))
+                reader, writer = await old.connect()
+                idle_reader, idle_writer = await old.connect()
+                for each_reader, each_writer in ((reader, writer), (idle_reader, idle_writer)):
+                    each_writer.write(request())
+                    assert b"close" not in (await read_message(each_reader))[0]
+                await new_discovery.watched()
+                new_discovery.line(listing(rev=1, full=False))
+                while await new.call("GET", "/_ready") != 200:
+                    pass
+                old.stop.set()
+                await asyncio.sleep(0.05)
+                for number in range(20):  # whoever comes now is let in, and by the new process
+                    assert status(await new.ask(request(ident=f"n{number}"))) == 200
+                assert len(second.requests) == 20
+                await asyncio.sleep(0.5)
+                writer.write(request(ident="last"))
+                head, body = await read_message(reader)
+                assert body == b"done" and b"Connection: close" in head
+                assert await reader.read() == b"" and await idle_reader.read() == b""
+                writer.close()
+                idle_writer.close()
+                await old.task
+                assert status(await new.ask(request(ident="after"))) == 200
+
+    run(test)
+
+
+def test_two_processes_share_the_socket_and_sigterm_ends_the_old_one_alone(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        await upstream.start()
+        await discovery.start()
+        known = listing(entry("u0", upstream.port))
+        path = configuration(tmp_path, known=known, discovery=f"127.0.0.1:{discovery.port}")
+
+        async def ask(port: int, ident: str) -> int:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(request("pay", ident, b"b", deadline_ms=1000))
+            answer = await read_message(reader)
+            writer.close()
+            return status(answer)
+
+        with held_socket() as held:
+            keep, port = held.fileno(), held.getsockname()[1]
+            with (program(path, (keep,), BALANCER_SOCKET_FD=str(keep)) as old,
+                  program(path, (keep,), BALANCER_SOCKET_FD=str(keep)) as new):
+                async with asyncio.timeout(PATIENCE_S):
+                    await until(lambda: len(discovery.calls) == 2)
+                    for watch in discovery.writers:
+                        watch.write(b"1\r\n\n\r\n")
+                    assert await ask(port, "0") == 200
+                    old.send_signal(signal.SIGTERM)
+                    assert [await ask(port, str(number)) for number in range(1, 30)] == [200] * 29
+                    assert await asyncio.to_thread(old.wait, PATIENCE_S) == 0
+                    assert [await ask(port, str(number)) for number in range(30, 40)] == [200] * 10
+                    assert new.poll() is None
+        upstream.stop()
+        discovery.stop()
+
+    asyncio.run(test())
