Close the listening socket only after what it has accepted is set up

Ruled out: the wait (it was long enough), the new process (it had accepted nothing yet; the test had not waited for it, which it does now), a shutdown (none). Cause: the event loop refuses to set up a connection whose server has been closed meanwhile (asyncio's Server._attach). So stop_listening first stops reading the socket, waits 0.1 s, and then closes it. This holds for SIGTERM without an inherited socket too.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -24,7 +24,6 @@
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
 LINES_A_SECOND = 5
-SETTLE_S = 0.2  # in which the loop turns accepted connections into clients, however busy it is
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 FRESH_LIST_S = 4.5  # a process that takes over from another has 6 s to say yes
 KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline, which counts for 3 s at most
@@ -96,14 +95,13 @@
     """Nobody else takes clients here: the listener stays open while they may still come."""
     server.close_idle(clock_us())
     await asyncio.sleep(STILL_COMING_S)
-    server.stop_listening()
+    await server.stop_listening()
 
 
 async def end_beside(server: Server) -> None:
     """Another process has the listening socket too. Hazard: what would be accepted from now on is better off
     there; and an idle connection closed at once would cost its next request, so each may carry a last one."""
-    server.stop_listening()
-    await asyncio.sleep(SETTLE_S)  # hazard: a connection accepted just now is no client yet
+    await server.stop_listening()
     classes = server.host.settings.classes
     killed_s = min(3.0, max(kind.deadline_us for kind in classes) / 1e6) + KILL_GAP_S
     idle_s = killed_s - max(kind.aim_us for kind in classes) / 1e6 - LAST_ANSWER_S
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -21,6 +21,7 @@
 CHECK_S = 0.1  # between looks at what clients have sent
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
+SETTLE_S = 0.1  # in which the loop sets up what it has accepted, however busy it is
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -300,7 +301,13 @@
             if client.idle and client.quiet_us <= quiet_since_us:
                 client.close()
 
-    def stop_listening(self) -> None:
-        """Hazard: a shutdown would end the socket for all who hold it; only this copy is closed."""
-        if self.listener is not None:
-            self.listener.close()
+    async def stop_listening(self) -> None:
+        """Accept nobody from now on; then close this copy of the socket: a shutdown would end it for all.
+
+        Hazard: the loop cannot set up a connection whose listener has been closed since it was accepted."""
+        if self.listener is None:
+            return
+        for sock in self.listener.sockets:
+            asyncio.get_running_loop().remove_reader(sock.fileno())
+        await asyncio.sleep(SETTLE_S)
+        self.listener.close()
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -22,11 +22,11 @@
     Upstream,
     answering,
     entry,
+    free_port,
     listing,
     read_message,
     request,
     sidecar,
-    until,
 )
 from tests.test_program import configuration, program
 from tests.test_sidecar import run, status
@@ -142,19 +142,32 @@
             writer.close()
             return status(answer)
 
+        async def ready(port: int) -> bool:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            except ConnectionRefusedError:
+                return False
+            writer.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            answer = await read_message(reader)
+            writer.close()
+            for watch in discovery.writers:
+                watch.write(b"1\r\n\n\r\n")
+            return status(answer) == 200
+
         with held_socket() as held:
-            keep, port = held.fileno(), held.getsockname()[1]
-            with (program(path, (keep,), BALANCER_SOCKET_FD=str(keep)) as old,
-                  program(path, (keep,), BALANCER_SOCKET_FD=str(keep)) as new):
+            keep, port, first, second = held.fileno(), held.getsockname()[1], free_port(), free_port()
+            with (program(path, (keep,), BALANCER_SOCKET_FD=str(keep),
+                          BALANCER_ADMIN=f"127.0.0.1:{first}") as old,
+                  program(path, (keep,), BALANCER_SOCKET_FD=str(keep),
+                          BALANCER_ADMIN=f"127.0.0.1:{second}") as new):
                 async with asyncio.timeout(PATIENCE_S):
-                    await until(lambda: len(discovery.calls) == 2)
-                    for watch in discovery.writers:
-                        watch.write(b"1\r\n\n\r\n")
+                    while not (await ready(first) and await ready(second)):
+                        await asyncio.sleep(0.02)
                     assert await ask(port, "0") == 200
                     old.send_signal(signal.SIGTERM)
-                    assert [await ask(port, str(number)) for number in range(1, 30)] == [200] * 29
+                    assert [await ask(port, str(number)) for number in range(1, 60)] == [200] * 59
                     assert await asyncio.to_thread(old.wait, PATIENCE_S) == 0
-                    assert [await ask(port, str(number)) for number in range(30, 40)] == [200] * 10
+                    assert [await ask(port, str(number)) for number in range(60, 70)] == [200] * 10
                     assert new.poll() is None
         upstream.stop()
         discovery.stop()
