Pass long bodies and answers through, with back-pressure and bounded memory

Design: up to 64 KiB of a body or an answer is held and may be sent again; what is longer streams. A client whose body is long is read only while an attempt takes it (body.Upload); the module is told when the body is whole, where the client's time begins (RequestWhole), and when more has passed than is held, so that it can't go out again (BodyPassed). A body that is still coming holds no slot. A long answer binds the request with its first bytes (StreamStarted): time-outs end, copies are cancelled, and the slot is free, as what follows takes as long as the client reads. A break resets the client's connection. Slow peers are judged by progress. Long bodies take turns within what limits.memory_mb leaves; all connections read into one shared buffer. Answers that end with their connection, chunked requests, trailers and Expect: 100-continue are taken now.

Not taken: files in TMPDIR, which count as memory; holding whole bodies while there is memory, since one upstream that breaks would cost all of it again; a slot for each body under way, as bodies at 64 kB/s would hold all slots for minutes.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -78,12 +78,16 @@
         self.entry = server.entry  # as it was listed then
         self.sent_us = now_us
         self.ended: api.Outcome | None = None  # None while it is out
+        self.holds_slot = False
 
 
 class Request:
     def __init__(self, event: api.RequestArrived, now_us: int) -> None:
         self.event = event
         self.arrived_us = now_us
+        self.patience_us = event.due_us - now_us  # of its client, from then on
+        self.whole = event.whole  # else its body is still coming, and no time has begun
+        self.passed = False  # its body can't be sent again
         self.attempts: list[Attempt] = []
         self.done = self.streaming = False
 
@@ -130,7 +134,11 @@
         elif isinstance(event, api.RequestGone) and event.request in self.requests:
             self.close(self.requests[event.request])
         elif isinstance(event, api.StreamStarted) and event.request in self.requests:
-            self.requests[event.request].streaming = True
+            self.on_stream_started(self.requests[event.request], event)
+        elif isinstance(event, api.RequestWhole) and event.request in self.requests:
+            self.on_whole(self.requests[event.request], event.due_us)
+        elif isinstance(event, api.BodyPassed) and event.request in self.requests:
+            self.requests[event.request].passed = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
         self.fill_from_buffer()
@@ -151,6 +159,14 @@
         if over != self.overloaded and self.log("overload begins" if over else "overload ends"):
             self.overloaded = over
 
+    def on_whole(self, request: Request, due_us: int) -> None:
+        """Its time begins; and only now does it load the upstream that it goes to."""
+        request.whole, request.arrived_us, request.patience_us = True, self.now_us, due_us - self.now_us
+        for attempt in request.attempts:
+            if attempt.ended is None:
+                attempt.sent_us = self.now_us
+                self.take_slot(attempt)
+
     def log(self, text: str) -> bool:
         if self.now_us < self.next_log_us:
             return False  # the change is told later, if it lasts
@@ -212,11 +228,15 @@
         """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
         return self.settings.classes[class_index].aim_us // 2
 
+    def since_us(self, request: Request) -> int:
+        """What its times count from: its last byte, which may be still to come."""
+        return request.arrived_us if request.whole else self.now_us
+
     def useful_until_us(self, request: Request) -> int:
         """When an answer stops being worth anything."""
         kind = self.class_of(request)
         late = kind.deadline_us if kind.late_worth > 0 else kind.aim_us
-        return min(request.event.due_us, request.arrived_us + late)
+        return self.since_us(request) + min(request.patience_us, late)
 
     def latest_start_us(self, request: Request) -> int:
         """An attempt that starts later is not expected back in time to be of use. Hazard: after an outage
@@ -258,9 +278,9 @@
             return 0
         return 1 if cold else max(1, int(server.window))
 
-    def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
+    def judge(self, attempt: Attempt, outcome: api.Outcome, elapsed_us: int, class_index: int) -> None:
         """How an attempt's end opens or closes its upstream's slots."""
-        server, pool, outcome = attempt.server, attempt.server.pool, attempt.ended
+        server, pool = attempt.server, attempt.server.pool
         slow_us = self.half_aim_us(class_index)
         load = min(2.0, elapsed_us / slow_us) if outcome in (api.Outcome.OK, api.Outcome.CANCELLED) else 2.0
         pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / self.mean_us[class_index]
@@ -361,7 +381,9 @@
 
     def may_send(self, request: Request) -> bool:
         """Rules 1 and 2 as far as they don't depend on the upstream."""
-        if request.done or request.streaming or self.now_us >= request.event.due_us:
+        if request.done or request.streaming or self.now_us >= self.since_us(request) + request.patience_us:
+            return False
+        if request.passed and request.attempts:
             return False
         if len(request.attempts) >= self.settings.max_attempts:
             return False
@@ -384,7 +406,6 @@
     def send(self, request: Request, server: Server) -> None:
         if self.warmth(server) < 1.0:
             server.due -= 1.0
-        server.used += 1
         pool = server.pool
         pool.credit = max(0.0, pool.credit - 1.0)
         faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
@@ -393,12 +414,22 @@
             pool.in_use.append(server)
         self.retries = min(MOST_RETRIES, self.retries + (RETRY_SHARE if not request.attempts else -1.0))
         request.attempts.append(Attempt(server, self.now_us))
+        if request.whole:  # hazard: bodies that take seconds to come would hold the slots of all others
+            self.take_slot(request.attempts[-1])
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
-        if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
+        if self.settings.second_copies and self.class_of(request).effect != "at_most_once" and request.whole:
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
+    def take_slot(self, attempt: Attempt) -> None:
+        attempt.server.used += int(not attempt.holds_slot)
+        attempt.holds_slot = True
+
+    def free_slot(self, attempt: Attempt) -> None:
+        attempt.server.used -= int(attempt.holds_slot)
+        attempt.holds_slot = False
+
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
         left_us = max(1, self.useful_until_us(request) - self.now_us)
@@ -421,14 +452,8 @@
             return
         attempt = attempts[0]
         attempt.ended = event.outcome
-        attempt.server.used -= 1
-        if event.outcome not in UNJUDGED:  # hazard: bad requests would close every upstream's slots
-            self.judge(attempt, event.elapsed_us, request.event.class_index)
-        attempt.server.pool.served += float(event.outcome is api.Outcome.OK)
-        if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
-            # time-outs count too: else a slow fleet would go on being judged by its few quick answers
-            index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
-            self.mean_us[index] = max(1.0, mean_us + (event.elapsed_us - mean_us) / 8)
+        if not request.streaming or attempt.holds_slot:  # else it has been learnt from with its first bytes
+            self.learn(request, attempt, event.outcome, event.elapsed_us)
         if event.final or request.done:
             self.cancel_losers(request)
             self.close(request)
@@ -439,11 +464,34 @@
             else:
                 self.finish(request)
 
-    def cancel_losers(self, request: Request) -> None:
+    def learn(self, request: Request, attempt: Attempt, outcome: api.Outcome, elapsed_us: int) -> None:
+        """What an answer, or its want, tells; its slot is free."""
+        self.free_slot(attempt)
+        if outcome not in UNJUDGED:  # hazard: bad requests would close every upstream's slots
+            self.judge(attempt, outcome, elapsed_us, request.event.class_index)
+        attempt.server.pool.served += float(outcome is api.Outcome.OK)
+        if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+            # time-outs count too: else a slow fleet would go on being judged by its few quick answers
+            index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
+            self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
+
+    def on_stream_started(self, request: Request, event: api.StreamStarted) -> None:
+        """The answer is there, though not all of it: what follows takes as long as the client reads, and
+        would hold a slot and count as slow. Copies are work for nobody now."""
+        if event.attempt >= len(request.attempts) or request.streaming:
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.ended is None:
+            request.streaming = True
+            self.learn(request, attempt, api.Outcome.OK, event.elapsed_us)
+            self.cancel_losers(request, event.attempt)
+
+    def cancel_losers(self, request: Request, winner: int = -1) -> None:
         """An attempt that lost to its copy is work for nobody, and holds a slot that others wait for."""
         if self.settings.cancel and not request.done:
             self.actions.extend([api.Cancel(request.event.request, number)
-                                 for number, attempt in enumerate(request.attempts) if attempt.ended is None])
+                                 for number, attempt in enumerate(request.attempts)
+                                 if attempt.ended is None and number != winner])
 
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -165,6 +165,22 @@
     cost_us: int = 0  # expected work on a standard core; 0 = not known
     retried: bool = False  # the client sends it again
     write: bool = False
+    whole: bool = True  # else its body is still coming, and its time begins with `RequestWhole`
+
+
+@dataclass(slots=True)
+class RequestWhole:
+    """The last byte of a long body has come. Time-outs of attempts that are out count from here."""
+
+    request: int
+    due_us: int
+
+
+@dataclass(slots=True)
+class BodyPassed:
+    """More of a long body has gone to an upstream than is held: the request can't be sent again."""
+
+    request: int
 
 
 @dataclass(slots=True)
@@ -187,6 +203,8 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """The first bytes of a long answer have gone to the client, which is bound to this attempt."""
+
     request: int
     attempt: int
     upstream: int
@@ -212,8 +230,8 @@
     payload: bytes
 
 
-Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
-         | TimerFired | PeerMessage)
+Event = (UpstreamsUpdated | RequestArrived | RequestWhole | BodyPassed | RequestGone | AttemptEnded
+         | StreamStarted | ProbeEnded | TimerFired | PeerMessage)
 
 
 # Actions
@@ -221,7 +239,9 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; a request's attempts are numbered 0, 1, 2 ... in the order of their sends."""
+    """Start an attempt; a request's attempts are numbered 0, 1, 2 ... in the order of their sends.
+
+    Its time-out counts from now, or from the last byte of a body that is still coming."""
 
     request: int
     upstream: int
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -24,6 +24,8 @@
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
 LINES_A_SECOND = 5
+OWN_MEMORY = 20 * 1024 * 1024  # bytes that the program takes without any request
+MEMORY_PART = 0.75  # of the limit; the rest is for short requests and for what the allocator keeps
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 FRESH_LIST_S = 4.5  # a process that takes over from another has 6 s to say yes
 KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline, which counts for 3 s at most
@@ -63,7 +65,9 @@
     host.start()
     prepared(discovery)
     lifecycle = Lifecycle()
-    server = Server(host, settings.settings, settings.sockets // 2, lifecycle)
+    processes = 1 if inherited is None else 2  # which share the limits
+    room = int(settings.memory * MEMORY_PART / processes) - OWN_MEMORY
+    server = Server(host, settings.settings, settings.sockets // 2 // processes, lifecycle, room)
     if settings.admin is not None:
         await Admin(operators_calls(server, lifecycle)).listen(settings.admin)
     if inherited is not None:
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -26,6 +26,7 @@
     idle_us: int  # upstreams close a connection that has been idle for this long
     known: Any  # the upstream list as last had, in discovery's form
     admin: tuple[str, int] | None = None  # where operators call
+    memory: int = 192 * 1024 * 1024  # bytes that it may take
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
@@ -86,4 +87,5 @@
         idle_us=int(float(pairs["bounds.conn-idle"])),
         known=raw.get("known"),
         admin=parse_address(admin) if admin else None,
+        memory=int(float(raw["limits"]["memory_mb"]) * 1024 * 1024),
     )
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -17,6 +17,7 @@
 
 from glenkeel import interface as api
 from glenkeel.balance import Balancer
+from plovertrail.body import Head, Sink, Source, Upload
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
     key: int = 0
     cost_us: int = 0
     retried: bool = False
+    upload: Upload | None = None  # the body, where it is too long to be held
 
 
 class Verdict(enum.Enum):
@@ -73,6 +75,19 @@
     content_type: bytes = b""
 
 
+class Asker(Sink, Protocol):
+    """The client's side of a request."""
+
+    def answer(self, answer: Answer) -> None:
+        """The one final answer, unless one has begun."""
+
+    def begin(self, head: Head, source: Source) -> None:
+        """The final answer, which is long and comes in pieces."""
+
+    def finish(self, whole: bool) -> None:
+        """Its end, or its break, which the client has to see."""
+
+
 class Flight(Protocol):
     """An attempt that is out."""
 
@@ -87,9 +102,10 @@
 class Upstreams(Protocol):
     """The side of the upstreams."""
 
-    def start(self, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Flight:
-        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
+    def start(self, address: tuple[str, int], call: Call, timeout_us: int, ended: Callable[[Result], None],
+              began: Callable[[Head, Source], Sink | None]) -> Flight:
+        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first; before it
+        `began`, where the answer is a long one, which tells where it goes if anybody still wants it."""
 
     def close_idle(self, address: tuple[str, int]) -> None:
         """Close the idle connections to an upstream."""
@@ -101,6 +117,7 @@
     sent_us: int
     flight: Flight | None = None
     timer: asyncio.TimerHandle | None = None
+    timeout_us: int = 0  # as the module said
     ended: bool = False
 
 
@@ -109,7 +126,9 @@
     ident: int
     call: Call
     due_us: int
-    reply: Callable[[Answer], None]
+    asker: Asker
+    whole: bool  # else its body is still coming, and its time has not begun
+    bound: int = -1  # the attempt whose answer has begun to go to the client
     attempts: list[Attempt] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     over: bool = False  # it has had its final answer, or the client has gone
@@ -136,24 +155,56 @@
         """Let the module ask for what it wants from the first moment on."""
         self._tell(api.TimerFired(0))
 
-    def arrived(self, call: Call, reply: Callable[[Answer], None]) -> int:
-        """A request has been taken; `reply` is called once with its answer unless the client goes first."""
+    def arrived(self, call: Call, asker: Asker, whole: bool = True) -> int:
+        """A request has been taken; `asker` gets its one answer unless the client goes first."""
         self.last_ident += 1
-        due_us = call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
-        request = Request(self.last_ident, call, due_us, reply)
+        request = Request(self.last_ident, call, self._due_us(call), asker, whole)
         self.requests[request.ident] = request
-        # hazard: whatever becomes of the module's own timers, no client is left without an answer
-        request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
-        self._tell(api.RequestArrived(request.ident, due_us, call.class_index, call.tenant, call.key,
-                                      call.cost_us, call.retried))
+        if whole:
+            # hazard: whatever becomes of the module's own timers, no client is left without an answer
+            request.timer = self._at(request.due_us + BACKSTOP_US, self._overdue, request)
+        self._tell(api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant, call.key,
+                                      call.cost_us, call.retried, whole=whole))
         return request.ident
 
+    def whole(self, ident: int) -> None:
+        """The last byte of a long body has come: the client's time begins."""
+        request = self.requests.get(ident)
+        if request is None or request.over or request.whole:
+            return
+        request.whole = True
+        request.call.arrived_us = now_us = clock_us()
+        request.due_us = self._due_us(request.call)
+        request.timer = self._at(request.due_us + BACKSTOP_US, self._overdue, request)
+        for number, attempt in enumerate(request.attempts):
+            if not attempt.ended:
+                attempt.sent_us = now_us
+                self._time(request, number)
+        self._tell(api.RequestWhole(ident, request.due_us))
+
+    def passed(self, ident: int) -> None:
+        """Of a long body more has gone to an upstream than is held."""
+        if ident in self.requests:
+            self._tell(api.BodyPassed(ident))
+
+    def stalled(self, ident: int) -> None:
+        """The upstream takes no more of a long body: as it has not had it whole, it has not begun with it."""
+        request = self.requests.get(ident)
+        if request is not None and not request.whole:
+            for number in range(len(request.attempts)):
+                self._give_up(request, number, api.Outcome.CONNECT_FAILED)
+
     def gone(self, ident: int) -> None:
         """The client has closed its connection."""
         request = self.requests.get(ident)
-        if request is not None and not request.over:
-            self._finish(request)
-            self._tell(api.RequestGone(ident))
+        if request is None or request.over:
+            return
+        if not request.whole or request.bound >= 0:  # the rest of the body, or of the answer, goes nowhere
+            request.over = True
+            for number in range(len(request.attempts)):
+                self._give_up(request, number, api.Outcome.CANCELLED)
+        self._finish(request)
+        self._tell(api.RequestGone(ident))
 
     def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
         """Discovery has spoken; `addresses` has those of the entries of the event."""
@@ -230,8 +281,12 @@
 
     # Requests
 
+    @staticmethod
+    def _due_us(call: Call) -> int:
+        return call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
+
     def _overdue(self, request: Request) -> None:
-        if not request.over:
+        if not request.over and request.bound < 0:
             log.warning("a request was overdue")
             self._answer(request.ident, Answer(Verdict.FAILED))
             self._tell(api.RequestGone(request.ident))
@@ -239,10 +294,10 @@
     def _answer(self, ident: int, answer: Answer) -> None:
         """The one place of final answers."""
         request = self.requests.get(ident)
-        if request is None or request.over:
+        if request is None or request.over or request.bound >= 0:
             return
         self._finish(request)
-        request.reply(answer)
+        request.asker.answer(answer)
 
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
@@ -267,18 +322,40 @@
             return  # over, and the module has been told
         now_us = clock_us()
         number = len(request.attempts)
-        attempt = Attempt(action.upstream, now_us)
+        attempt = Attempt(action.upstream, now_us, timeout_us=action.timeout_us)
         request.attempts.append(attempt)
         address = self.addresses.get(action.upstream)
-        left_us = request.due_us - now_us
-        if (request.over or address is None or left_us <= 0 or action.timeout_us < 0
+        left_us = request.due_us - now_us if request.whole else request.call.deadline_us
+        if (request.over or request.bound >= 0 or address is None or left_us <= 0 or action.timeout_us < 0
                 or number >= self.settings.max_attempts):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
-        timeout_us = min(action.timeout_us or left_us, left_us)
-        attempt.timer = self._at(now_us + timeout_us, self._timed_out, request, number)
+        if request.whole:
+            self._time(request, number)
         attempt.flight = self.upstreams.start(
-            address, request.call, timeout_us, lambda result: self._end_attempt(request, number, result))
+            address, request.call, min(action.timeout_us or left_us, left_us),
+            lambda result: self._end_attempt(request, number, result),
+            lambda head, source: self._began(request, number, head, source))
+
+    def _time(self, request: Request, number: int) -> None:
+        """Start the clock of an attempt."""
+        attempt = request.attempts[number]
+        due_us = min(request.due_us, attempt.sent_us + attempt.timeout_us) if attempt.timeout_us \
+            else request.due_us
+        attempt.timer = self._at(due_us, self._timed_out, request, number)
+
+    def _began(self, request: Request, number: int, head: Head, source: Source) -> Sink | None:
+        """A long answer's first bytes are there: the client is bound to this attempt, and no clock runs."""
+        attempt = request.attempts[number]
+        if attempt.ended or request.over or request.bound >= 0:
+            return None
+        request.bound = number
+        for timer in (attempt.timer, request.timer):
+            if timer is not None:
+                timer.cancel()
+        request.asker.begin(head, source)
+        self._tell(api.StreamStarted(request.ident, number, attempt.upstream, clock_us() - attempt.sent_us))
+        return request.asker
 
     def _timed_out(self, request: Request, number: int) -> None:
         self._give_up(request, number, api.Outcome.TIMEOUT)
@@ -306,7 +383,11 @@
         attempt.flight = None
         if attempt.timer is not None:
             attempt.timer.cancel()
-        if result.outcome is api.Outcome.OK:
+        if number == request.bound:
+            if not request.over:
+                self._finish(request)
+                request.asker.finish(result.outcome is api.Outcome.OK)
+        elif result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(Verdict.SERVED, result.body, result.content_type))
         elapsed_us = clock_us() - attempt.sent_us
         self._drop_if_done(request)
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -5,18 +5,25 @@
 import asyncio
 import logging
 import socket
+import struct
 
 import httptools
 
 from glenkeel.interface import Settings
+from plovertrail.body import HELD, LONGEST, STALL_US, Head, Reading, Room, Source, Upload
 from plovertrail.host import Answer, Call, Host, Verdict, clock_us
 from plovertrail.lifecycle import Lifecycle, State
 
 log = logging.getLogger(__name__)
 
-LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
-LONGEST_READ_US = 2_500_000  # for a request to come whole; strangers are owed an end 3 s after they connect
+LONGEST_READ_US = 2_700_000  # for a request to come; strangers are owed an end 3 s after they connect, and
+SLOWEST_BODY = 32_000  # bytes a second that earn it more time: half of what a slow client sends, and
+MOST_AHEAD_US = 5_000_000  # more than this is not earned ahead
+FRAMING = 64 * 1024  # bytes that a chunked body may have beside its own, and
+FRAMING_PART = 16  # for each byte of it so many: pieces may be of any size
+LONGEST_WAIT_US = 5_000_000  # for room for a long body
+UNWRITTEN = 32 * 1024  # of a long answer, before its upstream is held back
 BACKLOG = 512  # connections not yet accepted
 CHECK_S = 0.1  # between looks at what clients have sent
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
@@ -27,7 +34,8 @@
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
     b"content-length", b"transfer-encoding", b"x-deadline-ms"))
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-           413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable"}
+           413: b"Content Too Large", 417: b"Expectation Failed", 500: b"Internal Server Error",
+           501: b"Not Implemented", 503: b"Service Unavailable"}
 
 
 class Reject(Exception):
@@ -52,8 +60,8 @@
         self.classes = {kind.name.encode(): i for i, kind in enumerate(settings.classes)}
         self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
 
-    def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Call:
-        """Check a request and give it its place in the settings."""
+    def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]]) -> Call:
+        """Check a request's head and give it its place in the settings."""
         found = {name.lower(): value.strip() for name, value in headers}
         name = target.split(b"?")[0].lstrip(b"/").split(b"/")[0]
         index = self.classes.get(name)
@@ -69,7 +77,7 @@
         key = found.get(b"x-key")
         cost = found.get(b"x-cost-hint")
         return Call(
-            method, target, [(n, v) for n, v in headers if n.lower() not in OWN_HEADERS], body, clock_us(),
+            method, target, [(n, v) for n, v in headers if n.lower() not in OWN_HEADERS], b"", clock_us(),
             deadline_us=1000 * whole_number(found.get(b"x-deadline-ms", b""), "X-Deadline-Ms"),
             class_index=index,
             tenant=self.tenants.get(found.get(b"x-tenant", b""), 0),
@@ -79,7 +87,7 @@
         )
 
 
-class Client(asyncio.Protocol):
+class Client(Reading):
     """One connection of the application; it carries one request at a time."""
 
     def __init__(self, server: Server) -> None:
@@ -91,28 +99,47 @@
         self.made_us = 0  # when it connected
         self.quiet_us = 0  # since when it has been idle, if it is
         self.begun_us = 0  # when the message now being read began
+        self.limit_us = 0  # when more of it must have come
         self.proven = False  # it has sent a proper request
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
         self.ending = False  # what still comes is not read any more
+        self.blocked_us = 0  # since when what we write is not taken
+        self.unwritten = 0  # and how much of it is left, as last seen
         self.reset()
 
     def reset(self) -> None:
-        self.whole = False
+        self.whole = self.headed = False
         self.begun_us = 0
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.size = self.head = 0  # bytes in all, and of headers
+        self.size = self.head = self.passed = 0  # bytes in all, of headers, and of the body
+        self.length: int | None = None  # of the body, where the head tells
+        self.chunked = False
         self.body = bytearray()
+        self.call: Call | None = None  # as the head tells
+        self.upload: Upload | None = None
+        self.waits_us = 0  # since when a long body is not read on
+        self.source: Source | None = None  # of a long answer
+        self.framed = False  # it goes out in chunks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=UNWRITTEN)
         self.made_us = self.quiet_us = clock_us()
+        self.limit_us = self.made_us + LONGEST_READ_US
         self.server.connected(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.clients.pop(self, None)
+        self.drop()
+
+    def drop(self) -> None:
+        """Whatever of a request is here goes no further."""
+        if self.upload is not None:
+            self.server.room.leave(self.enter)
+            self.upload = None
         if self.open:
             self.open = False
             self.server.host.gone(self.ident)
@@ -130,40 +157,84 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole:
             return
-        if name.lower() == b"transfer-encoding":
-            raise Reject(400, "no chunked requests")
         self.head += len(name) + len(value)
         if self.head > LONGEST_HEAD:
             raise Reject(413, "the head is too long")
+        if self.headed:  # what comes behind the body is none of the head
+            return
+        lower = name.lower()
+        if lower == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":
+                raise Reject(501, "no transfer coding but chunked")
+            self.chunked = True
+        elif lower == b"content-length":
+            self.length = int(value)
         self.headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        if self.whole:
+            return
+        self.headed = True
+        if not self.parser.should_keep_alive():
+            self.last = True
+        if self.is_up():
+            return
+        self.call = self.server.catalogue.call(self.parser.get_method(), self.target, self.headers)
+        if (self.length or 0) > LONGEST:
+            raise Reject(413, "the body is too long")
+        expected = next((value for name, value in self.headers if name.lower() == b"expect"), b"")
+        if expected.lower() not in (b"", b"100-continue"):
+            raise Reject(417, "unknown expectation")
+        if expected and (self.chunked or self.length) and self.parser.get_http_version() == "1.1":
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def is_up(self) -> bool:
+        return self.target == b"/up" and self.parser.get_method() == b"GET"
+
     def on_body(self, data: bytes) -> None:
-        if not self.whole:
+        if self.whole:
+            return
+        self.passed += len(data)
+        if self.passed > LONGEST:
+            raise Reject(413, "the body is too long")
+        earned_us = len(data) * 1_000_000 // SLOWEST_BODY
+        self.limit_us = max(self.limit_us, min(self.limit_us + earned_us, clock_us() + MOST_AHEAD_US))
+        if self.upload is None:
             self.body += data
-            if len(self.body) > LONGEST_BODY:
-                raise Reject(413, "the body is too long")
+        else:
+            self.upload.feed(data)
 
     def on_message_complete(self) -> None:
         self.whole = True
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
+            self.quiet_us = clock_us()
             return
-        if self.open:
+        if self.open and self.whole:
             self.extra = True  # pipelined: the open request is answered, then the connection ends
             return
         if self.begun_us == 0:
             self.begun_us = clock_us()
+            if self.proven:
+                self.limit_us = self.begun_us + LONGEST_READ_US
         self.size += len(data)
         try:
             self.feed(data)
+            if self.ending:
+                return  # answered while its body was still coming
             if self.whole:
                 self.take()
+            elif self.upload is None and len(self.body) > HELD:
+                self.pass_on()
         except Reject as reject:
+            self.drop()
             self.write(reject.status, str(reject).encode() + b"\n", last=True)
         except Exception:
             # hazard: a fault with one request must end neither the process nor other requests
             log.exception("a request could not be read")
+            self.drop()
             self.write(500, b"", last=True)
 
     def feed(self, data: bytes) -> None:
@@ -176,22 +247,58 @@
             if not self.whole:
                 raise Reject(400, "malformed request") from None
             self.extra = True
-        if not self.whole and self.size > LONGEST_HEAD + len(self.body):
+        if not self.headed and self.size > LONGEST_HEAD + FRAMING_PART:
             raise Reject(413, "the head is too long")  # hazard: one without end would fill the memory
+        if not self.whole and self.size > LONGEST_HEAD + FRAMING + FRAMING_PART * self.passed:
+            raise Reject(413, "the body's framing is too long")
 
     def take(self) -> None:
         """The request has come whole."""
-        method = self.parser.get_method()
-        if not self.parser.should_keep_alive():
-            self.last = True
-        target, headers, body = self.target, self.headers, bytes(self.body)
-        if target == b"/up" and method == b"GET":
-            self.proven = True
+        self.proven = True
+        if self.is_up():
             self.write(200 if self.server.ready else 503, b"")
+        elif self.upload is not None:
+            self.upload.finish()
+            if self.open:
+                self.server.host.whole(self.ident)
+        elif self.call is not None:
+            self.call.arrived_us = clock_us()
+            self.call.body = bytes(self.body)
+            self.open = True
+            self.ident = self.server.host.arrived(self.call, self)
+
+    # A long body
+
+    def pass_on(self) -> None:
+        """The body is longer than what is held: it goes on as it comes, once there is room for it."""
+        self.upload = Upload(bytes(self.body), None if self.chunked else self.length, self.flow, self.gave_up)
+        self.body = bytearray()
+        self.flow(False)
+        self.server.room.enter(self.enter)
+
+    def enter(self) -> None:
+        if self.call is not None and self.upload is not None:
+            self.call.upload = self.upload
+            self.call.arrived_us = clock_us()
+            self.open = self.proven = True
+            self.ident = self.server.host.arrived(self.call, self, whole=False)
+
+    def gave_up(self) -> None:
+        self.server.host.passed(self.ident)
+
+    def flow(self, on: bool) -> None:
+        """Read on, or not: the upstream does not take what comes, or there is none."""
+        if self.transport is None or self.upload is None:
             return
-        call = self.server.catalogue.call(method, target, headers, body)
-        self.open = self.proven = True
-        self.ident = self.server.host.arrived(call, self.answer)
+        if on:
+            self.waits_us = 0
+            self.limit_us = max(self.limit_us, clock_us() + LONGEST_READ_US)
+            self.transport.resume_reading()
+        elif not self.whole:
+            self.waits_us = self.waits_us or clock_us()
+            self.transport.pause_reading()
+
+    # Its answer
 
     def answer(self, answer: Answer) -> None:
         self.open = False
@@ -206,28 +313,98 @@
 
     def write(self, status: int, body: bytes, head: bytes = b"", last: bool = False) -> None:
         assert self.transport is not None
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.ending:
             return
-        last = last or self.last or self.server.lifecycle.closing
-        if last:
-            head += b"Connection: close\r\n"
-        data = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (status, REASONS[status], head, len(body))
-        data += body
-        if self.extra and not last:
-            data += b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-        self.transport.write(data)
-        if last or self.extra:
+        self.decide_last(last)
+        self.transport.write(self.head_of(status, head + b"Content-Length: %d\r\n" % len(body)) + body)
+        self.over()
+
+    def decide_last(self, last: bool = False) -> None:
+        """Hazard: after an answer to a body that is still coming, what follows would be read as a request."""
+        self.last = self.last or last or not self.whole or self.server.lifecycle.closing
+
+    def head_of(self, status: int, head: bytes) -> bytes:
+        close = b"Connection: close\r\n" if self.last else b""
+        return b"HTTP/1.1 %d %s\r\n%s%s\r\n" % (status, REASONS[status], head, close)
+
+    def begin(self, head: Head, source: Source) -> None:
+        """A long answer: its length tells its end, or a last chunk, or else the end of the connection."""
+        assert self.transport is not None
+        self.source = source
+        self.framed = head.length is None and self.parser.get_http_version() != "1.0"
+        self.decide_last(last=head.length is None and not self.framed)
+        lines = b"Content-Type: %s\r\n" % head.content_type if head.content_type else b""
+        if self.framed:
+            lines += b"Transfer-Encoding: chunked\r\n"
+        elif head.length is not None:
+            lines += b"Content-Length: %d\r\n" % head.length
+        self.transport.write(self.head_of(200, lines))
+
+    def more(self, data: bytes) -> None:
+        assert self.transport is not None
+        if data and not self.transport.is_closing():
+            if self.framed:
+                self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+            else:
+                self.transport.write(data)
+
+    def finish(self, whole: bool) -> None:
+        """Hazard: a break that looked like an end would pass half an answer off as a whole one."""
+        assert self.transport is not None
+        self.open = False
+        self.source = None
+        if not whole:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:  # a reset, and no mere end, which would end an answer without length
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
+        elif not self.transport.is_closing():
+            if self.framed:
+                self.transport.write(b"0\r\n\r\n")
+            self.over()
+
+    def over(self) -> None:
+        """The answer is whole: on to the next request, or to the connection's end."""
+        assert self.transport is not None
+        self.drop()
+        if self.extra and not self.last:
+            self.transport.write(
+                b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        if self.last or self.extra:
             self.end()
         else:
             self.reset()
             self.quiet_us = clock_us()
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        self.blocked_us = clock_us()
+        if self.source is not None:
+            self.source.pause()
+
+    def resume_writing(self) -> None:
+        self.blocked_us = 0
+        if self.source is not None:
+            self.source.resume()
 
     def end(self) -> None:
         """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
         assert self.transport is not None
         self.ending = True
+        self.transport.resume_reading()
         self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+        self.quiet_us = clock_us()
+        self.linger(self.quiet_us + STALL_US)
+
+    def linger(self, until_us: int) -> None:
+        """Hazard: a client that reads slowly, or still sends, must not lose the end of its answer."""
+        assert self.transport is not None
+        now_us = clock_us()
+        sends = self.quiet_us + LINGER_S * 1e6 > now_us and until_us > now_us
+        if self.transport.get_write_buffer_size() or sends:
+            asyncio.get_running_loop().call_later(LINGER_S, self.linger, until_us)
+        else:
+            self.transport.abort()
 
     @property
     def idle(self) -> bool:
@@ -245,8 +422,23 @@
 
     def check(self, now_us: int) -> None:
         """Hazard: a stranger that sends nothing, or half a request, would hold its connection for ever."""
-        since_us = self.begun_us if self.proven else self.made_us
-        if since_us and not self.open and not self.ending and now_us > since_us + LONGEST_READ_US:
+        assert self.transport is not None
+        if self.blocked_us:
+            left = self.transport.get_write_buffer_size()
+            if left != self.unwritten:
+                self.blocked_us, self.unwritten = now_us, left
+            elif now_us > self.blocked_us + STALL_US:
+                self.transport.abort()
+        if self.ending or self.whole or (self.proven and self.begun_us == 0):
+            return
+        if self.waits_us:
+            if not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
+                self.drop()
+                self.write(503, b"", last=True)
+            elif self.open and now_us > self.waits_us + STALL_US:
+                self.server.host.stalled(self.ident)
+        elif now_us > self.limit_us:
+            self.drop()
             if self.begun_us:
                 self.write(408, b"", last=True)
             else:
@@ -256,9 +448,11 @@
 class Server:
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings, most_clients: int, lifecycle: Lifecycle) -> None:
+    def __init__(self, host: Host, settings: Settings, most_clients: int, lifecycle: Lifecycle,
+                 room: int = 64 * 1024 * 1024) -> None:
         self.host = host
         self.lifecycle = lifecycle
+        self.room = Room(room)
         self.catalogue = Catalogue(settings)
         self.most_clients = most_clients
         self.clients: dict[Client, None] = {}  # in the order of their coming
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -10,13 +10,15 @@
 import httptools
 
 from glenkeel.interface import Outcome
+from plovertrail.body import HELD, LONGEST, STALL_US, Head, Reading, Sink, Source, Upload
 from plovertrail.host import Call, Result, clock_us
 
 log = logging.getLogger(__name__)
 
-LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 64 * 1024  # an answer's headers; a megabyte of them takes 40 ms to read, and all others wait
-LONGEST_ANSWER = 1024 * 1024  # with its head and framing
+FRAMING = 1024 * 1024  # bytes that an answer may have beside its body, and
+FRAMING_PART = 16  # for each byte of it so many: pieces may be of any size
+HOLD_S = 0.1  # an answer of unknown length that takes longer passes through, lest its first bytes be late
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 YOUNG_US = 25_000  # connections idle for less are in steady use
 MOST_LOST = 0.25  # a share of lost requests well above what a bad network takes of any connection
@@ -32,8 +34,11 @@
     lines = [b"%s %s HTTP/1.1\r\nHost: %s:%d" % (call.method, call.target, address[0].encode(), address[1])]
     lines.extend([b"%s: %s" % header for header in call.headers])
     lines.append(b"X-Deadline-Ms: %d" % max(1, timeout_us // 1000))
-    if call.method != b"GET" or call.body:
-        lines.append(b"Content-Length: %d" % len(call.body))
+    length = call.upload.length if call.upload is not None else len(call.body)
+    if length is None:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif call.method != b"GET" or length:
+        lines.append(b"Content-Length: %d" % length)
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
@@ -66,11 +71,14 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, pool: Pool, address: Address, data: bytes, ended: Callable[[Result], None]) -> None:
+    def __init__(self, pool: Pool, address: Address, data: bytes, ended: Callable[[Result], None],
+                 began: Callable[[Head, Source], Sink | None], upload: Upload | None = None) -> None:
         self.pool = pool
         self.address = address
         self.data = data
         self.ended = ended
+        self.began = began
+        self.upload = upload
         self.connection: Connection | None = None
         self.written = False
 
@@ -79,6 +87,7 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.attempt = None
+            connection.let_go(self)
             if self.written:
                 connection.close()
 
@@ -87,7 +96,7 @@
         self.ended(result)
 
 
-class Connection(asyncio.Protocol):
+class Connection(Reading):
     """A connection to an upstream; it carries one attempt at a time."""
 
     def __init__(self, pool: Pool, address: Address, sock: socket.socket) -> None:
@@ -102,11 +111,19 @@
         self.closed = False
         self.unsent = False  # part of what was written is still with us
         self.complete = False  # the answer is whole
+        self.unfinished = False  # the rest of the request's body is still to come
+        self.forget_answer()
+
+    def forget_answer(self) -> None:
+        self.complete = self.headed = self.not_run = self.chunked = False
         self.status = 0
-        self.not_run = False
         self.content_type = b""
+        self.length: int | None = None
         self.body = bytearray()
-        self.received = 0
+        self.sink: Sink | None = None  # where a long answer goes
+        self.paused = False  # as its client does not read
+        self.heard_us = 0  # when the last of it came
+        self.received = self.passed = 0  # bytes in all, and of its body
         self.head = 0  # bytes of headers
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -120,9 +137,13 @@
 
     def pause_writing(self) -> None:
         self.unsent = True
+        if self.attempt is not None and self.attempt.upload is not None:
+            self.attempt.upload.flow(False)
 
     def resume_writing(self) -> None:
         self.unsent = False
+        if self.attempt is not None and self.attempt.upload is not None:
+            self.attempt.upload.flow(True)
 
     def usable(self) -> bool:
         """Hazard: an end or stray bytes that have come but were not read yet would cost the request."""
@@ -142,16 +163,74 @@
         attempt.connection = self
         attempt.written = True
         self.parser = httptools.HttpResponseParser(self)
-        self.complete = self.not_run = False
-        self.status = 0
-        self.content_type = b""
-        self.body = bytearray()
-        self.received = self.head = 0
+        self.forget_answer()
         self.idled_us = clock_us() - self.idle_since_us if self.idle_since_us else -1
         self.transport.write(attempt.data)
+        if attempt.upload is not None:
+            self.unfinished = True
+            held = attempt.upload.attach(self)
+            self.more_body(held)
+            if attempt.upload.whole:
+                self.body_end()
+            if self.unsent:
+                attempt.upload.flow(False)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
 
+    # A long body, as it comes from the client
+
+    def more_body(self, data: bytes) -> None:
+        assert self.transport is not None and self.attempt is not None and self.attempt.upload is not None
+        if not data:
+            return
+        if self.attempt.upload.length is None:
+            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+        else:
+            self.transport.write(data)
+
+    def body_end(self) -> None:
+        assert self.transport is not None and self.attempt is not None and self.attempt.upload is not None
+        if self.attempt.upload.length is None:
+            self.transport.write(b"0\r\n\r\n")
+        self.unfinished = False
+
+    def let_go(self, attempt: Attempt) -> None:
+        if attempt.upload is not None:
+            attempt.upload.detach(self)
+
+    # A long answer, as its client reads it
+
+    def pause(self) -> None:
+        self.paused = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        self.paused = False
+        self.heard_us = clock_us()
+        if self.transport is not None:
+            self.transport.resume_reading()
+
+    def begin(self) -> None:
+        """The answer is longer than what is held, or takes long: from here on it passes through."""
+        assert self.attempt is not None
+        self.sink = self.attempt.began(Head(self.length, self.content_type), self)
+        if self.sink is None:
+            raise ValueError("nobody waits for the answer any more")
+        self.pool.passing.add(self)
+        held, self.body = bytes(self.body), bytearray()
+        self.sink.more(held)
+
+    def held_long_enough(self, attempt: Attempt) -> None:
+        if self.attempt is attempt and self.sink is None and not self.complete:
+            if not self.body:
+                self.pool.loop.call_later(HOLD_S, self.held_long_enough, attempt)
+                return
+            try:
+                self.begin()
+            except ValueError:
+                self.break_off()
+
     # The answer, as the parser reads it
 
     def on_message_begin(self) -> None:
@@ -159,7 +238,7 @@
             self.closed = True  # more than one answer: the connection is of no further use
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.complete:
+        if self.complete or self.headed:  # what comes behind the body is none of the head
             return
         self.head += len(name) + len(value)
         if self.head > LONGEST_HEAD:
@@ -169,21 +248,44 @@
             self.not_run = value.strip() == b"1"
         elif name == b"content-type":
             self.content_type = value
+        elif name == b"content-length":
+            self.length = int(value)
+        elif name == b"transfer-encoding":
+            self.chunked = True
+
+    def on_headers_complete(self) -> None:
+        assert self.parser is not None
+        if self.complete:
+            return
+        self.status = self.parser.get_status_code()
+        self.headed = self.status >= 200
+        if (self.length or 0) > LONGEST:
+            raise ValueError("the answer is too long")
+        if self.status == 200 and (self.length or 0) > HELD:
+            self.begin()
 
     def on_body(self, data: bytes) -> None:
-        if not self.complete:
+        if self.complete:
+            return
+        self.passed += len(data)
+        if self.passed > LONGEST:
+            raise ValueError("the answer is too long")
+        if self.sink is not None:
+            self.sink.more(data)
+        else:
             self.body += data
-            if len(self.body) > LONGEST_BODY:
-                raise ValueError("the answer is too long")
+            if len(self.body) > HELD:
+                if self.status != 200:
+                    raise ValueError("the error is too long")
+                self.begin()
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
         if self.complete:
             return
-        self.status = self.parser.get_status_code()
         if self.status < 200:  # an interim answer; the final one follows
-            self.not_run = False
-            self.content_type = b""
+            self.headed = self.not_run = False
+            self.content_type, self.length = b"", None
             return
         self.complete = True
         if not self.parser.should_keep_alive():
@@ -194,19 +296,26 @@
             self.close()  # bytes that nobody asked for
             return
         self.received += len(data)
+        self.heard_us = clock_us()
+        waits = self.headed
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self.closed = True  # hazard: what follows would be taken for the next answer
         if self.complete:
             self.finish_complete()
-        elif self.closed or self.received > LONGEST_ANSWER:
-            self.close()  # hazard: an answer without end would fill the memory
-            self.finish(Outcome.RESET)
+        elif self.closed or self.received > FRAMING + FRAMING_PART * self.passed:
+            self.break_off()  # hazard: an answer without end would fill the memory
+        elif not waits and self.headed and self.status == 200 and self.length is None and self.sink is None:
+            self.pool.loop.call_later(HOLD_S, self.held_long_enough, self.attempt)
+
+    def break_off(self) -> None:
+        self.close()
+        self.finish(Outcome.RESET)
 
     def finish_complete(self) -> None:
-        if self.closed or self.unsent:  # hazard: the rest of this request would be read as the next one
-            self.close()
+        if self.closed or self.unsent or self.unfinished:
+            self.close()  # hazard: the rest of this request would be read as the next one
         if self.status == 200:
             outcome = Outcome.OK
         elif self.status in (503, 504) and self.not_run:
@@ -221,24 +330,37 @@
         attempt, self.attempt = self.attempt, None
         self.pool.trust.used(self.idled_us, outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
-        if outcome is Outcome.OK:
+        if outcome is Outcome.OK and self.sink is None:
             result = Result(outcome, bytes(self.body), self.content_type)
-        self.parser = None
+        self.parser = self.sink = None
+        self.pool.passing.discard(self)
         self.body = bytearray()
         if not self.closed:
+            if self.paused:
+                self.resume()
             self.pool.put_idle(self)
         if attempt is not None:
+            self.let_go(attempt)
             attempt.end(result)
 
+    @property
+    def until_end(self) -> bool:
+        """Whether it is the end of the connection that ends the answer."""
+        return self.headed and self.length is None and not self.chunked
+
     def eof_received(self) -> None:
         self.closed = True
+        if self.attempt is not None and self.until_end and not self.complete:
+            self.complete = True
+            self.finish_complete()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
         self.pool.remove(self)
         if self.attempt is not None:
             # all that was written may have run; what was not written whole has not
-            self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+            never_ran = (self.unsent or self.unfinished) and self.sink is None
+            self.finish(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
 
     def close(self) -> None:
         self.closed = True
@@ -256,12 +378,13 @@
         self.dial_timeout_us = dial_timeout_us
         self.idle: dict[Address, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
+        self.passing: set[Connection] = set()  # those with a long answer on its way
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
-    def start(self, address: Address, call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Attempt:
+    def start(self, address: Address, call: Call, timeout_us: int, ended: Callable[[Result], None],
+              began: Callable[[Head, Source], Sink | None]) -> Attempt:
         data = request_head(call, address, timeout_us) + call.body
-        attempt = Attempt(self, address, data, ended)
+        attempt = Attempt(self, address, data, ended, began, call.upload)
         oldest_us = clock_us() - self.trust.limit_us()
         idle = self.idle.get(address, [])
         while idle:
@@ -318,6 +441,9 @@
         """Close what upstreams are about to close."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         self.trust.fade()
+        silent_us = clock_us() - STALL_US
+        for connection in [c for c in self.passing if not c.paused and c.heard_us <= silent_us]:
+            connection.break_off()
         oldest_us = clock_us() - self.trust.limit_us()
         for connections in list(self.idle.values()):
             for connection in [c for c in connections if c.idle_since_us <= oldest_us]:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -6,13 +6,16 @@
 
 from glenkeel.balance import FIRST_SLOTS
 from glenkeel.interface import (
+    BodyPassed,
     Cancel,
     Fail,
     ListKind,
     Log,
     Outcome,
     Refuse,
+    RequestWhole,
     Tenant,
+    TimerFired,
     Upstream,
     UpstreamState,
 )
@@ -649,3 +652,79 @@
         before = len(world.sends())
         churn(world, 20, class_index=class_index)
         assert len(world.sends()) - before >= 15
+
+
+# Long bodies and answers
+
+
+def coming(world: World, class_index: int = READ) -> int:
+    """A request whose body is still coming; its client waits for as long as that takes."""
+    request = world.arrive(class_index, whole=False)
+    world.owed[request].tries[0].ends_us += 3_600_000_000
+    return request
+
+
+def test_a_body_that_takes_long_to_come_holds_no_slot_and_no_time_runs() -> None:
+    world = ready_world(1)
+    requests = [coming(world) for _ in range(2 * FIRST)]
+    assert len(world.sends()) == 2 * FIRST and world.balancer.servers[100].used == 0
+    assert len(fill(world)) == FIRST + 1
+    world.balancer.handle(world.now_us + 3_000_000, TimerFired(0))
+    assert not any(world.answer(request) for request in requests)
+
+
+def test_the_time_of_a_long_body_begins_with_its_last_byte() -> None:
+    world = ready_world(1)
+    request = coming(world)
+    world.now_us += 5_000_000
+    world.owed[request].event.due_us = world.now_us + 1_000_000
+    world.tell(RequestWhole(request, world.now_us + 1_000_000))
+    assert world.balancer.servers[100].used == 1
+    pace = world.balancer.servers[100].pace
+    world.owed[request].tries[0].sent_us = world.now_us
+    world.now_us += 10_000
+    world.end(request, 0, Outcome.OK)
+    assert world.balancer.servers[100].used == 0 and world.balancer.servers[100].pace <= pace
+
+
+@pytest.mark.parametrize(("outcome", "answer"), [(Outcome.CONNECT_FAILED, Refuse), (Outcome.FULL, Refuse),
+                                                 (Outcome.RESET, Fail)])
+def test_a_body_that_has_passed_is_not_sent_again(outcome: Outcome, answer: type) -> None:
+    world = ready_world()
+    request = coming(world, PAY)
+    world.tell(BodyPassed(request))
+    world.end(request, 0, outcome)
+    assert len(world.sends(request)) == 1 and isinstance(world.answer(request), answer)
+
+
+def test_a_body_of_which_all_is_held_is_sent_again_where_it_never_ran() -> None:
+    world = ready_world()
+    request = coming(world, PAY)
+    world.now_us += 2_000_000  # its client is slow; that is no time of ours
+    world.end(request, 0, Outcome.CONNECT_FAILED)
+    assert len(world.sends(request)) == 2 and world.answer(request) is None
+
+
+def test_the_first_bytes_of_a_long_answer_free_its_slot_and_cancel_the_copy() -> None:
+    world = ready_world(cancel=True, second_copies=True)
+    request = world.arrive(READ)
+    world.advance(160_000)
+    first, second = world.owed[request].tries
+    world.begin_stream(request, 1)
+    assert Cancel(request, 0) in world.log and Cancel(request, 1) not in world.log
+    assert [world.balancer.servers[t.upstream].used for t in (first, second)] == [1, 0]
+    pace = world.balancer.servers[second.upstream].pace
+    world.end(request, 0, Outcome.CANCELLED)
+    world.now_us += 20_000_000  # the client reads slowly; that is no fault of the upstream
+    world.end(request, 1, Outcome.OK)
+    assert world.balancer.servers[second.upstream].pace == pace
+    assert all(server.used == 0 for server in world.balancer.servers.values())
+    assert request not in world.balancer.requests
+
+
+def test_a_long_answer_that_breaks_is_not_asked_for_again() -> None:
+    world = ready_world()
+    request = world.arrive(READ)
+    world.begin_stream(request, 0)
+    world.end(request, 0, Outcome.RESET)
+    assert len(world.sends(request)) == 1 and world.answer(request) is None
