Take new settings at SIGHUP, all of a file or nothing of it

Design: the file is read and checked whole, against the one in force too (a key that has gone means a file cut short), and then catalogue, module settings, time-outs of connections and discovery are swapped in one turn of the loop. The module gets a SettingsChanged event. A request holds its class, tenant and attempts and not their places; what was learnt goes by the place before, which the interface finds by name, as the module reads no names. A lower limit of attempts holds for requests under way too; a request that comes whole after the signal is a new one.

Not taken: a new module beside the old one for requests under way, which would double every upstream's slots and forget what was learnt of it. Not taken either: a list of the keys that must be there, which would have to be kept in step with the platform's.

Seen before: only discovery's address was taken; requests of new classes got 404.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -72,6 +72,24 @@
         self.rests = False  # as last logged
 
 
+class Kind:
+    """A class of requests, as the operator set it, and what has been learnt of it."""
+
+    def __init__(self, rules: api.RequestClass, mean_us: float | None = None) -> None:
+        self.rules = rules
+        self.mean_us = mean_us or rules.aim_us / 4  # of its answers; at first a guess
+        self.half_aim_us = rules.aim_us // 2  # the delay threshold, and the time of a slow answer: the other
+        # half is left for a new try
+
+
+class Party:
+    """A tenant, as the operator set it, and what has been seen of it."""
+
+    def __init__(self, tenant: api.Tenant, seen: float = 0.0) -> None:
+        self.allowance_per_s = tenant.allowance_per_s
+        self.seen = seen  # arrivals, the old ones fading
+
+
 class Attempt:
     def __init__(self, server: Server, now_us: int) -> None:
         self.server = server
@@ -82,8 +100,12 @@
 
 
 class Request:
-    def __init__(self, event: api.RequestArrived, now_us: int) -> None:
+    def __init__(self, event: api.RequestArrived, kind: Kind, party: Party | None, most_attempts: int,
+                 now_us: int) -> None:
         self.event = event
+        self.kind = kind  # hazard: by its place in the settings, it would change with them
+        self.party = party
+        self.most_attempts = most_attempts
         self.arrived_us = now_us
         self.patience_us = event.due_us - now_us  # of its client, from then on
         self.whole = event.whole  # else its body is still coming, and no time has begun
@@ -107,12 +129,12 @@
         self.servers: dict[int, Server] = {}  # the ready ones, in the order listed
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
-        self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
+        self.kinds = [Kind(rules) for rules in settings.classes]
+        self.parties = [Party(tenant) for tenant in settings.tenants]
         self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
         self.retries = MOST_RETRIES  # reissues in hand
         self.short_us = 0  # when a request last found no free slot
-        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
-        self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
+        self.allowed_per_s = max(1.0, sum(party.allowance_per_s for party in self.parties))
         self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
         self.next_log_us = now_us
@@ -141,6 +163,8 @@
             self.requests[event.request].passed = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
+        elif isinstance(event, api.SettingsChanged):
+            self.on_settings(event)
         self.fill_from_buffer()
         self.arm()
         actions, self.actions = self.actions, []
@@ -149,16 +173,33 @@
     def on_arrival(self, event: api.RequestArrived) -> None:
         if event.request in self.requests:
             return
-        request = self.requests[event.request] = Request(event, self.now_us)
-        if event.tenant < len(self.tenant_seen):
-            self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
-            self.tenant_seen[event.tenant] += 1.0
+        party = self.parties[event.tenant] if event.tenant < len(self.parties) else None
+        if party is not None:
+            for other in self.parties:
+                other.seen *= 1.0 - 1.0 / TENANT_MEMORY
+            party.seen += 1.0
+        kind, most = self.kinds[event.class_index], self.settings.max_attempts
+        request = Request(event, kind, party, most, self.now_us)
+        self.requests[event.request] = request
         self.place(request)
         self.unsent += (float(not request.attempts) - self.unsent) / TENANT_MEMORY
         over = self.unsent > (0.02 if self.overloaded else 0.2)
         if over != self.overloaded and self.log("overload begins" if over else "overload ends"):
             self.overloaded = over
 
+    def on_settings(self, event: api.SettingsChanged) -> None:
+        """What has been learnt of a class or a tenant goes with its name; upstreams stay as they are."""
+        asked, self.settings = self.settings.list_on_request, event.settings
+        kinds, parties = self.kinds, self.parties
+        self.kinds = [Kind(rules, kinds[place].mean_us if place is not None else None)
+                      for rules, place in zip(event.settings.classes, event.classes_before, strict=True)]
+        self.parties = [Party(tenant, parties[place].seen if place is not None else 0.0)
+                        for tenant, place in zip(event.settings.tenants, event.tenants_before, strict=True)]
+        self.allowed_per_s = max(1.0, sum(party.allowance_per_s for party in self.parties))
+        if self.settings.list_on_request != asked:
+            self.ask_list_us = 0
+            self.ask_list_at(self.now_us + self.backoff_us())
+
     def on_whole(self, request: Request, due_us: int) -> None:
         """Its time begins; and only now does it load the upstream that it goes to."""
         request.whole, request.arrived_us, request.patience_us = True, self.now_us, due_us - self.now_us
@@ -193,7 +234,7 @@
             if self.buffer is not None:
                 self.finish(self.buffer)
             self.buffer = request
-            until_us = self.now_us + self.half_aim_us(request.event.class_index)
+            until_us = self.now_us + request.kind.half_aim_us
             self.wake(min(until_us, self.latest_start_us(request)), "buffer", request.event.request)
         else:
             self.finish(request)
@@ -212,36 +253,31 @@
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
         The share is judged among the tenants seen here: of total rates a sidecar knows nothing."""
-        s, worth = self.settings, self.class_of(request).worth
+        s, worth = self.settings, request.kind.rules.worth
         if not s.worth_by_work:
-            worth /= self.mean_us[request.event.class_index]
-        if request.event.tenant < len(s.tenants):
-            allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
-            seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
-            worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
+            worth /= request.kind.mean_us
+        if request.party is not None:
+            allowed = request.party.allowance_per_s / self.allowed_per_s
+            all_seen = sum(party.seen for party in self.parties)
+            seen = request.party.seen / all_seen if all_seen > 0.0 else 0.0  # none since the settings changed
+            inside = min(1.0, allowed / seen) if seen > 0.0 else 1.0
+            worth *= s.over_share_worth + (1.0 - s.over_share_worth) * inside
         return worth
 
-    def class_of(self, request: Request) -> api.RequestClass:
-        return self.settings.classes[request.event.class_index]
-
-    def half_aim_us(self, class_index: int) -> int:
-        """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
-        return self.settings.classes[class_index].aim_us // 2
-
     def since_us(self, request: Request) -> int:
         """What its times count from: its last byte, which may be still to come."""
         return request.arrived_us if request.whole else self.now_us
 
     def useful_until_us(self, request: Request) -> int:
         """When an answer stops being worth anything."""
-        kind = self.class_of(request)
+        kind = request.kind.rules
         late = kind.deadline_us if kind.late_worth > 0 else kind.aim_us
         return self.since_us(request) + min(request.patience_us, late)
 
     def latest_start_us(self, request: Request) -> int:
         """An attempt that starts later is not expected back in time to be of use. Hazard: after an outage
         that every answer outlasted, nothing would be tried again; so at most half the aim is left for it."""
-        answer_us = min(self.mean_us[request.event.class_index], self.half_aim_us(request.event.class_index))
+        answer_us = min(request.kind.mean_us, request.kind.half_aim_us)
         return self.useful_until_us(request) - int(answer_us)
 
     def fill_from_buffer(self) -> None:
@@ -253,12 +289,12 @@
 
     def finish(self, request: Request) -> None:
         """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
-        kind = self.class_of(request)
+        kind = request.kind.rules
         rejected = any(attempt.ended is api.Outcome.REJECTED for attempt in request.attempts)
         harmless = not rejected and (kind.effect == "idempotent" or request.first_that_may_have_run() is None
                                      or (kind.effect == "deduplicated" and kind.group == "all"))
         self.close(request)
-        ident, after_us = request.event.request, self.mean_us[request.event.class_index]
+        ident, after_us = request.event.request, request.kind.mean_us
         # about one answer's time, spread lest refused clients return together
         after_us = min(after_us * (0.5 + self.random.random()), self.settings.max_retry_after_us)
         advice_us = int(after_us) if self.settings.retry_after else 0
@@ -278,12 +314,12 @@
             return 0
         return 1 if cold else max(1, int(server.window))
 
-    def judge(self, attempt: Attempt, outcome: api.Outcome, elapsed_us: int, class_index: int) -> None:
+    def judge(self, attempt: Attempt, outcome: api.Outcome, elapsed_us: int, kind: Kind) -> None:
         """How an attempt's end opens or closes its upstream's slots."""
         server, pool = attempt.server, attempt.server.pool
-        slow_us = self.half_aim_us(class_index)
+        slow_us = kind.half_aim_us
         load = min(2.0, elapsed_us / slow_us) if outcome in (api.Outcome.OK, api.Outcome.CANCELLED) else 2.0
-        pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / self.mean_us[class_index]
+        pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / kind.mean_us
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT, api.Outcome.FULL):
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
@@ -311,7 +347,7 @@
         server.window = min(max(server.window, SMALLEST_WINDOW), float(MOST_SLOTS))
         if server.window < 1.0:
             # hazard: beside answers of seconds, short rests leave a choked upstream crowded
-            busy_us = max(min(self.mean_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
+            busy_us = max(min(kind.mean_us, slow_us), min(elapsed_us, 2 * slow_us))
             rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
             server.rest_until_us = self.now_us + int(rest_us)
         if server.window < 0.5 and server in pool.in_use:
@@ -385,18 +421,18 @@
             return False
         if request.passed and request.attempts:
             return False
-        if len(request.attempts) >= self.settings.max_attempts:
-            return False
+        if len(request.attempts) >= min(request.most_attempts, self.settings.max_attempts):
+            return False  # a limit that falls holds for those under way too
         if request.out() > 0 and not self.settings.second_copies:
             return False
-        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        first, kind = request.first_that_may_have_run(), request.kind.rules
         if first is None or kind.effect == "idempotent":
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
     def in_group(self, request: Request, server: Server) -> bool:
         """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
-        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        first, kind = request.first_that_may_have_run(), request.kind.rules
         if first is None or kind.effect != "deduplicated" or kind.group == "all":
             return True
         if kind.group == "zone":
@@ -417,9 +453,9 @@
         if request.whole:  # hazard: bodies that take seconds to come would hold the slots of all others
             self.take_slot(request.attempts[-1])
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
-        if self.settings.second_copies and self.class_of(request).effect != "at_most_once" and request.whole:
-            index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
-            after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
+        if self.settings.second_copies and request.kind.rules.effect != "at_most_once" and request.whole:
+            # soon enough to be back in time, late enough to be seldom
+            after_us = min(int(2 * request.kind.mean_us), request.kind.half_aim_us)
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
     def take_slot(self, attempt: Attempt) -> None:
@@ -433,10 +469,10 @@
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
         left_us = max(1, self.useful_until_us(request) - self.now_us)
-        if self.settings.second_copies or self.class_of(request).effect == "at_most_once" or self.retries < 1:
+        if self.settings.second_copies or request.kind.rules.effect == "at_most_once" or self.retries < 1:
             return left_us
-        index, known_us = request.event.class_index, request.event.cost_us
-        return min(left_us, max(int(4 * self.mean_us[index]), self.half_aim_us(index), 4 * known_us))
+        kind, known_us = request.kind, request.event.cost_us
+        return min(left_us, max(int(4 * kind.mean_us), kind.half_aim_us, 4 * known_us))
 
     def send_copy(self, request: Request) -> None:
         """The first runs on. Never in a shortage: copies would take the slots of requests that have none."""
@@ -468,12 +504,12 @@
         """What an answer, or its want, tells; its slot is free."""
         self.free_slot(attempt)
         if outcome not in UNJUDGED:  # hazard: bad requests would close every upstream's slots
-            self.judge(attempt, outcome, elapsed_us, request.event.class_index)
+            self.judge(attempt, outcome, elapsed_us, request.kind)
         attempt.server.pool.served += float(outcome is api.Outcome.OK)
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
-            index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
-            self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
+            kind = request.kind
+            kind.mean_us = max(1.0, kind.mean_us + (elapsed_us - kind.mean_us) / 8)
 
     def on_stream_started(self, request: Request, event: api.StreamStarted) -> None:
         """The answer is there, though not all of it: what follows takes as long as the client reads, and
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 
@@ -121,6 +122,8 @@
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
+        names = [kind.name for kind in self.classes]
+        _require(len(set(names)) == len(names), "request classes of different names", names)
         _require(self.instances >= 1, "an instances of 1 or more", self.instances)
         _require(self.self_index >= 0, "a self_index of 0 or more", self.self_index)
         _require(0 <= self.over_share_worth <= 1, "an over_share_worth from 0 to 1", self.over_share_worth)
@@ -132,6 +135,13 @@
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
+def places_before(now: Sequence[RequestClass | Tenant],
+                  before: Sequence[RequestClass | Tenant]) -> list[int | None]:
+    """Where each of these stood; classes and tenants are known by their names."""
+    places = {each.name: place for place, each in enumerate(before)}
+    return [places.get(each.name) for each in now]
+
+
 @dataclass(slots=True)
 class Upstream:
     """One entry of the upstream list."""
@@ -219,6 +229,16 @@
     report: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """The operator has replaced the settings. New requests name classes and tenants by their new places;
+    those under way keep the class that they came with."""
+
+    settings: Settings
+    classes_before: list[int | None]  # the place that each class had till now; None for a new one
+    tenants_before: list[int | None]
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -231,7 +251,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestWhole | BodyPassed | RequestGone | AttemptEnded
-         | StreamStarted | ProbeEnded | TimerFired | PeerMessage)
+         | StreamStarted | ProbeEnded | SettingsChanged | TimerFired | PeerMessage)
 
 
 # Actions
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -17,7 +17,7 @@
 from plovertrail.discovery import Directory, Discovery
 from plovertrail.host import Host, clock_us
 from plovertrail.lifecycle import Lifecycle
-from plovertrail.server import Server
+from plovertrail.server import Catalogue, Server
 from plovertrail.upstreams import Pool
 
 log = logging.getLogger(__name__)
@@ -50,24 +50,13 @@
 
 
 async def serve(settings: config.Config, stop: asyncio.Event,
-                prepared: Callable[[Discovery], None] = lambda discovery: None,
+                prepared: Callable[[Sidecar], None] = lambda sidecar: None,
                 inherited: socket.socket | None = None) -> None:
-    """Serve until told to stop, then answer what comes and what is open; `prepared` gets the discovery."""
-    pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
-    host = Host(settings.settings, settings.seed, pool)
-    directory = Directory(settings.zones, settings.kinds)
-    discovery = Discovery(settings.discovery, directory, host.list_changed)
-    host.subscribe = discovery.subscribe
-    if settings.known:
-        discovery.cached(settings.known)
-    if not settings.settings.list_on_request:
-        discovery.keep()
-    host.start()
-    prepared(discovery)
-    lifecycle = Lifecycle()
-    processes = 1 if inherited is None else 2  # which share the limits
-    room = int(settings.memory * MEMORY_PART / processes) - OWN_MEMORY
-    server = Server(host, settings.settings, settings.sockets // 2 // processes, lifecycle, room)
+    """Serve until told to stop, then answer what comes and what is open; `prepared` gets the parts."""
+    sidecar = Sidecar(settings, inherited)
+    server, lifecycle, discovery = sidecar.server, sidecar.lifecycle, sidecar.discovery
+    sidecar.start()
+    prepared(sidecar)
     if settings.admin is not None:
         await Admin(operators_calls(server, lifecycle)).listen(settings.admin)
     if inherited is not None:
@@ -130,14 +119,49 @@
             b"/_lameduck/off": Route(b"POST", undrain)}
 
 
-def reload(path: str, discovery: Discovery) -> None:
-    """Take the address of discovery from the file anew; a file that can't be read changes nothing."""
-    try:
-        address = config.load(path).discovery
-    except UNREADABLE as error:
-        log.warning("the configuration can't be read again: %r", error)
-        return
-    discovery.move(address)
+class Sidecar:
+    """The parts that are retuned together."""
+
+    def __init__(self, settings: config.Config, inherited: socket.socket | None = None) -> None:
+        self.settings = settings
+        self.lifecycle = Lifecycle()
+        self.pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
+        self.host = Host(settings.settings, settings.seed, self.pool)
+        self.directory = Directory(settings.zones, settings.kinds)
+        self.discovery = Discovery(settings.discovery, self.directory, self.host.list_changed)
+        self.host.subscribe = self.discovery.subscribe
+        processes = 1 if inherited is None else 2  # which share the limits
+        room = int(settings.memory * MEMORY_PART / processes) - OWN_MEMORY
+        self.server = Server(self.host, settings.settings, settings.sockets // 2 // processes, self.lifecycle,
+                             room)
+
+    def start(self) -> None:
+        """Take the list as it was known, and let the module or the network side ask for a new one."""
+        if self.settings.known:
+            self.discovery.cached(self.settings.known)
+        if not self.settings.settings.list_on_request:
+            self.discovery.keep()
+        self.host.start()
+
+    def reload(self, path: str) -> None:
+        """Take the file anew: all of it, once it has been checked whole, or nothing."""
+        try:
+            settings = config.load_again(path, self.settings)
+        except Exception as error:  # hazard: whatever is wrong with it, the running sidecar must go on
+            log.warning("the configuration is not taken, all stays as it was: %r", error)
+            return
+        before, self.settings = self.settings, settings
+        self.directory.zones, self.directory.kinds = settings.zones, settings.kinds
+        self.pool.retune(settings.idle_us, settings.settings.connect_timeout_us)
+        self.server.catalogue = Catalogue(settings.settings)
+        self.host.retune(settings.settings)
+        if settings.discovery != before.discovery:
+            self.discovery.move(settings.discovery)
+        if settings.settings.list_on_request != before.settings.list_on_request:
+            self.discovery.kept = not settings.settings.list_on_request
+            self.discovery.subscribe(self.discovery.kept)
+        log.info("the configuration is taken anew, with the classes %s",
+                 ", ".join(kind.name for kind in settings.settings.classes))
 
 
 async def run(settings: config.Config, path: str, inherited: socket.socket | None) -> None:
@@ -146,7 +170,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     await serve(settings, stop,
-                lambda discovery: loop.add_signal_handler(signal.SIGHUP, reload, path, discovery), inherited)
+                lambda sidecar: loop.add_signal_handler(signal.SIGHUP, sidecar.reload, path), inherited)
 
 
 def main() -> int:
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -27,6 +27,35 @@
     known: Any  # the upstream list as last had, in discovery's form
     admin: tuple[str, int] | None = None  # where operators call
     memory: int = 192 * 1024 * 1024  # bytes that it may take
+    raw: Any = None  # the file, as it was read
+
+
+# Keys that a file may lack though the one before had them: they may be absent, or serve the start only.
+OPTIONAL = frozenset(("known", "accounts", "aim-stretch", "passes-deadline", "warm-keys"))
+
+
+def missing(before: Any, after: Any, path: str = "") -> str:
+    """The first key of one file that its successor lacks, as one cut short or half written would; else ""."""
+    if isinstance(before, Mapping):
+        if not isinstance(after, Mapping):
+            return path
+        for key in before.keys() - OPTIONAL:
+            inner = f"{path}.{key}" if path else str(key)
+            found = inner if key not in after else missing(before[key], after[key], inner)
+            if found:
+                return found
+    elif isinstance(before, list) and before and all(isinstance(item, Mapping) for item in before):
+        common = {key: None for key in before[0] if all(key in item for item in before)}
+        for place, item in enumerate(after if isinstance(after, list) else [None]):
+            found = missing(common, item, f"{path}.{place}")
+            if found:
+                return found
+    return ""
+
+
+def positive(value: object, what: str) -> None:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
+        raise ValueError(f"{what}: expected a positive number, got {value!r}")
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
@@ -66,6 +95,15 @@
     return sock
 
 
+def load_again(path: str, before: Config) -> Config:
+    """The file that has taken the place of one in force; raises as `load`, on what is incomplete too."""
+    after = load(path)
+    key = missing(before.raw, after.raw)
+    if key:
+        raise ValueError(f"the key {key} is missing")
+    return after
+
+
 def load(path: str, admin: str | None = None) -> Config:
     """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed.
 
@@ -74,6 +112,10 @@
     with open(path, encoding="utf-8") as file:
         raw = json.load(file)
     settings = raw["settings"]
+    for kind in settings["request-classes"]:
+        for key in ("aim", "deadline"):
+            positive(kind[key], f"{key} of class {kind['name']}")
+    positive(settings["bounds"]["most-tries"], "most-tries")
     pairs = flatten(settings)
     admin = admin or raw.get("admin")
     return Config(
@@ -88,4 +130,5 @@
         known=raw.get("known"),
         admin=parse_address(admin) if admin else None,
         memory=int(float(raw["limits"]["memory_mb"]) * 1024 * 1024),
+        raw=raw,
     )
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -151,6 +151,12 @@
 
     # What happens
 
+    def retune(self, settings: api.Settings) -> None:
+        """The operator has replaced the settings."""
+        before, self.settings = self.settings, settings
+        self._tell(api.SettingsChanged(settings, api.places_before(settings.classes, before.classes),
+                                       api.places_before(settings.tenants, before.tenants)))
+
     def start(self) -> None:
         """Let the module ask for what it wants from the first moment on."""
         self._tell(api.TimerFired(0))
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -118,6 +118,7 @@
         self.chunked = False
         self.body = bytearray()
         self.call: Call | None = None  # as the head tells
+        self.catalogue: Catalogue | None = None  # that it was read by
         self.upload: Upload | None = None
         self.waits_us = 0  # since when a long body is not read on
         self.source: Source | None = None  # of a long answer
@@ -179,7 +180,8 @@
             self.last = True
         if self.is_up():
             return
-        self.call = self.server.catalogue.call(self.parser.get_method(), self.target, self.headers)
+        self.catalogue = self.server.catalogue
+        self.call = self.catalogue.call(self.parser.get_method(), self.target, self.headers)
         if (self.length or 0) > LONGEST:
             raise Reject(413, "the body is too long")
         expected = next((value for name, value in self.headers if name.lower() == b"expect"), b"")
@@ -262,6 +264,9 @@
             if self.open:
                 self.server.host.whole(self.ident)
         elif self.call is not None:
+            if self.catalogue is not self.server.catalogue:
+                # hazard: what has come whole only now is a new request, and a restriction holds for it
+                self.call = self.server.catalogue.call(self.parser.get_method(), self.target, self.headers)
             self.call.arrived_us = clock_us()
             self.call.body = bytes(self.body)
             self.open = True
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -381,6 +381,13 @@
         self.passing: set[Connection] = set()  # those with a long answer on its way
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
+    def retune(self, idle_us: int, dial_timeout_us: int) -> None:
+        """The operator has replaced the settings; where idle connections last otherwise, it is learnt anew."""
+        longest_us = max(0, idle_us - IDLE_MARGIN_US)
+        if longest_us != self.trust.longest_us:
+            self.trust = Trust(longest_us)
+        self.dial_timeout_us = dial_timeout_us
+
     def start(self, address: Address, call: Call, timeout_us: int, ended: Callable[[Result], None],
               began: Callable[[Head, Source], Sink | None]) -> Attempt:
         data = request_head(call, address, timeout_us) + call.body
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,10 +17,8 @@
 
 import pytest
 
-from plovertrail.__main__ import reload
+from plovertrail.__main__ import Sidecar
 from plovertrail.config import Config, flatten, load
-from plovertrail.discovery import Directory
-from plovertrail.discovery import Discovery as Discovering
 from tests.net import (
     OK,
     PATIENCE_S,
@@ -32,6 +30,7 @@
     listing,
     read_message,
     request,
+    until,
 )
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -131,14 +130,143 @@
     asyncio.run(test())
 
 
-def test_a_file_that_can_not_be_read_again_leaves_discovery_where_it_is(tmp_path: Path) -> None:
+def without(whole: Any, path: str) -> Any:
+    """A copy that lacks the key at the end of this path."""
+    copy = json.loads(json.dumps(whole))
+    *way, last = path.split(".")
+    inner: Any = copy
+    for key in way:
+        inner = inner[int(key) if isinstance(inner, list) else key]
+    del inner[last]
+    return copy
+
+
+def with_value(whole: Any, path: str, value: object) -> Any:
+    copy = json.loads(json.dumps(whole))
+    *way, last = path.split(".")
+    inner: Any = copy
+    for key in way:
+        inner = inner[int(key) if isinstance(inner, list) else key]
+    inner[last] = value
+    return copy
+
+
+BROKEN: list[tuple[str, Any]] = [
+    *[(path, None) for path in (
+        "listen", "discovery", "seed", "limits", "settings", "name", "settings.request-classes",
+        "settings.bounds", "settings.bounds.most-tries", "settings.bounds.conn-idle", "settings.locality",
+        "settings.registry-mode", "settings.invariants.ask-within", "settings.request-classes.0.deadline",
+        "settings.request-classes.0.name", "settings.request-classes.0.effect", "limits.memory_mb")],
+    *[(path, value) for path in ("settings.request-classes.0.deadline", "settings.bounds.most-tries")
+      for value in list[object]((0, -1, "many", "3", True, [], {}, 1e999, float("nan")))],
+    ("settings.request-classes", []), ("settings.request-classes", {}), ("settings", []), ("settings", 5),
+    ("discovery", "nowhere"), ("settings.areas", None), ("settings.bounds.conn-idle", float("inf")),
+    ("settings.request-classes", 2 * SETTINGS["request-classes"]),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), BROKEN)
+def test_of_a_broken_file_nothing_is_taken(tmp_path: Path, path: str, value: object) -> None:
+    async def test() -> None:
+        file = configuration(tmp_path)
+        whole = json.loads(file.read_text())
+        sidecar = Sidecar(load(str(file)))
+        before = (sidecar.settings, sidecar.server.catalogue, sidecar.host.settings)
+        broken = without(whole, path) if value is None else with_value(whole, path, value)
+        file.write_text(json.dumps(broken | {"discovery": "127.0.0.1:2"} if path != "discovery" else broken))
+        sidecar.reload(str(file))
+        assert (sidecar.settings, sidecar.server.catalogue, sidecar.host.settings) == before
+        assert sidecar.host.balancer.settings is before[2]
+        assert sidecar.discovery.address == ("127.0.0.1", 1) and sidecar.discovery.watch is None
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("text", ["", "{", "null", "[]", "5", '"x"', "\x00", "[" * 100_000])
+def test_a_file_that_is_no_configuration_changes_nothing(tmp_path: Path, text: str) -> None:
+    async def test() -> None:
+        file = configuration(tmp_path)
+        sidecar = Sidecar(load(str(file)))
+        before = sidecar.settings
+        file.write_text(text)
+        sidecar.reload(str(file))
+        file.unlink()
+        sidecar.reload(str(file))
+        assert sidecar.settings is before and sidecar.discovery.watch is None
+
+    asyncio.run(test())
+
+
+def test_a_whole_file_is_taken_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        file = configuration(tmp_path)
+        whole = json.loads(file.read_text())
+        sidecar = Sidecar(load(str(file)))
+        new = with_value(whole, "settings.request-classes", [
+            {"name": "read", "aim": 300000, "deadline": 900000, "effect": "idempotent", "worth": 1.0},
+            {"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "deduplicated", "worth": 10.0}])
+        new = with_value(new, "settings.bounds.most-tries", 2)
+        new = with_value(new, "settings.bounds.conn-idle", 900000)
+        file.write_text(json.dumps(without(new, "known") | {"discovery": "127.0.0.1:2"}))
+        sidecar.reload(str(file))
+        assert list(sidecar.server.catalogue.classes) == [b"read", b"pay"]
+        assert sidecar.host.settings.max_attempts == sidecar.host.balancer.settings.max_attempts == 2
+        assert sidecar.pool.trust.longest_us == 600_000
+        assert sidecar.discovery.address == ("127.0.0.1", 2) and sidecar.discovery.watch is not None
+        sidecar.discovery.stop()
+
+    asyncio.run(test())
+
+
+def test_sighup_changes_the_classes_while_a_request_under_way_keeps_its_own(tmp_path: Path) -> None:
     async def test() -> None:
-        directory = Directory(["a"], ["m"])
-        discovery = Discovering(("127.0.0.1", 1), directory, lambda event, addresses: None)
-        path = configuration(tmp_path)
-        path.write_text("{")
-        reload(str(path), discovery)
-        assert discovery.address == ("127.0.0.1", 1) and discovery.watch is None
+        held = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if number == 0:
+                await held.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        await upstream.start()
+        path = configuration(tmp_path, known=listing(entry("u0", upstream.port)))
+        whole = json.loads(path.read_text())
+        slow = with_value(whole, "settings.request-classes.0.aim", 10_000_000)
+        slow = with_value(slow, "settings.request-classes.0.deadline", 20_000_000)
+        path.write_text(json.dumps(slow))
+        host, port = whole["listen"].split(":")
+
+        async def ask(kind: str) -> int:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request(kind, "1", b"" if kind == "read" else b"b"))
+            answer = await read_message(reader)
+            writer.close()
+            return int(answer[0].split(b" ")[1])
+
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    try:
+                        (await asyncio.open_connection(host, int(port)))[1].close()
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.02)
+                assert await ask("read") == 404
+                under_way = asyncio.create_task(ask("pay"))
+                await until(lambda: len(upstream.requests) == 1)
+                read = {"name": "read", "aim": 300000, "deadline": 900000, "effect": "idempotent",
+                        "worth": 1.0}
+                path.write_text(json.dumps(with_value(slow, "settings.request-classes", [read])))
+                process.send_signal(signal.SIGHUP)
+                while await ask("read") != 200:
+                    pass
+                sent = len(upstream.requests)
+                assert await ask("pay") == 404 and len(upstream.requests) == sent
+                held.set()
+                assert await under_way == 200
+                assert process.poll() is None
+        upstream.stop()
 
     asyncio.run(test())
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from glenkeel.balance import FIRST_SLOTS
 from glenkeel.interface import (
+    AttemptEnded,
     BodyPassed,
     Cancel,
     Fail,
@@ -13,11 +16,14 @@
     Log,
     Outcome,
     Refuse,
+    RequestClass,
     RequestWhole,
+    SettingsChanged,
     Tenant,
     TimerFired,
     Upstream,
     UpstreamState,
+    places_before,
 )
 from tests.world import START_US, World, settings, upstreams
 
@@ -728,3 +734,68 @@
     world.begin_stream(request, 0)
     world.end(request, 0, Outcome.RESET)
     assert len(world.sends(request)) == 1 and world.answer(request) is None
+
+
+# New settings
+
+
+def retune(world: World, **changes: object) -> None:
+    before, world.settings = world.settings, settings(**changes)
+    world.tell(SettingsChanged(world.settings, places_before(world.settings.classes, before.classes),
+                               places_before(world.settings.tenants, before.tenants)))
+
+
+def test_a_request_under_way_keeps_its_class_when_the_classes_change_places() -> None:
+    world = ready_world()
+    unsafe, safe = world.arrive(PAY), world.arrive(READ)
+    retune(world, classes=list(reversed(settings().classes)))
+    for request in (unsafe, safe):
+        world.balancer.handle(world.now_us, AttemptEnded(
+            request, 0, world.owed[request].tries[0].upstream, Outcome.ERROR, 1000))
+    assert world.balancer.requests.keys() == {safe}  # sent again; the unsafe one has failed
+
+
+def test_what_was_learnt_of_a_class_goes_with_its_name() -> None:
+    world = ready_world()
+    churn(world, 30, class_index=PAY, took_us=77_000)
+    learnt = world.balancer.kinds[PAY].mean_us
+    new = RequestClass("new", aim_us=400_000, deadline_us=1_000_000)
+    retune(world, classes=[new, settings().classes[PAY]])
+    assert [kind.mean_us for kind in world.balancer.kinds] == [100_000, learnt]
+    assert world.sends(world.arrive(0)) and world.sends(world.arrive(1))
+
+
+def test_a_stricter_effect_holds_for_new_requests_at_once() -> None:
+    world = ready_world()
+    strict = [dataclasses.replace(kind, effect="at_most_once") for kind in settings().classes]
+    retune(world, classes=strict)
+    request = world.arrive(READ)
+    world.end(request, 0, Outcome.ERROR)
+    assert len(world.sends(request)) == 1 and isinstance(world.answer(request), Fail)
+
+
+def test_fewer_attempts_hold_at_once_and_more_only_for_new_requests() -> None:
+    world = ready_world(max_attempts=3)
+    under_way = world.arrive(READ)
+    retune(world, max_attempts=1)
+    world.end(under_way, 0, Outcome.FULL)
+    assert len(world.sends(under_way)) == 1
+    under_way = world.arrive(READ)
+    retune(world, max_attempts=3)
+    world.end(under_way, 0, Outcome.FULL)
+    assert len(world.sends(under_way)) == 1
+    request = world.arrive(READ)
+    world.end(request, 0, Outcome.FULL)
+    assert len(world.sends(request)) == 2
+
+
+def test_the_shares_of_tenants_go_with_their_names() -> None:
+    big, small = Tenant("big", 100.0), Tenant("small", 100.0)
+    world = ready_world(tenants=[big, small], over_share_worth=0.1)
+    for _ in range(100):
+        world.end(world.arrive(READ, tenant=0), 0, Outcome.OK)
+    retune(world, tenants=[small, Tenant("new", 0.0), big], over_share_worth=0.1)
+    seen = [party.seen for party in world.balancer.parties]
+    assert seen[0] == seen[1] == 0.0 and seen[2] > 50.0
+    for tenant in (0, 1, 2, 3):
+        assert world.sends(world.arrive(READ, tenant=tenant))
