Give each of two processes the whole cap on clients' connections again

Lines at fault: __main__.Sidecar, sockets // 2 // processes. Clients hold their third in both processes together, so neither needs a smaller cap. The test fails without this.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -132,8 +132,8 @@
         self.host.subscribe = self.discovery.subscribe
         processes = 1 if inherited is None else 2  # which share the limits
         room = int(settings.memory * MEMORY_PART / processes) - OWN_MEMORY
-        self.server = Server(self.host, settings.settings, settings.sockets // 2 // processes, self.lifecycle,
-                             room)
+        # clients hold a third of the descriptors at most, in both processes together
+        self.server = Server(self.host, settings.settings, settings.sockets // 2, self.lifecycle, room)
 
     def start(self) -> None:
         """Take the list as it was known, and let the module or the network side ask for a new one."""
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -173,3 +173,19 @@
         discovery.stop()
 
     asyncio.run(test())
+
+
+def test_beside_another_process_it_still_takes_as_many_clients_as_there_may_be() -> None:
+    async def test() -> None:
+        discovery = Discovery()
+        with held_socket() as held:
+            async with sidecar(Upstream(answering(OK)), discovery=discovery, inherited=held) as it:
+                await discovery.watched()
+                discovery.line(listing(rev=1, full=False))
+                clients = [await it.connect() for _ in range(200 // 3)]
+                for reader, writer in clients:
+                    writer.write(request())
+                    assert status(await read_message(reader)) == 200
+                    writer.close()
+
+    run(test)
