--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -382,7 +382,7 @@
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
     def retune(self, idle_us: int, dial_timeout_us: int) -> None:
-        """The operator has replaced the settings; where idle connections last otherwise, it is learnt anew."""
+        """The operator has replaced the settings; how long idle connections last may be learnt anew."""
         longest_us = max(0, idle_us - IDLE_MARGIN_US)
         if longest_us != self.trust.longest_us:
             self.trust = Trust(longest_us)
