Know a request by its own head: pipelined bytes, absolute targets, classes that vanish

Three faults found by reading, each with a test that fails without its mend. (1) The method was asked of the parser after it had read on into pipelined bytes, so that a GET /up followed by a POST got no answer (Client.take). (2) A target in absolute form named no class (Catalogue.call). (3) A long body that waited for room or for its first 64 KiB kept its class's place in the settings across a SIGHUP (Client.enter); what has not come whole is now looked up anew.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -111,7 +111,8 @@
     def reset(self) -> None:
         self.whole = self.headed = False
         self.begun_us = 0
-        self.target = b""
+        self.method = self.target = b""
+        self.old = False  # of HTTP/1.0, which knows no chunks
         self.headers: list[tuple[bytes, bytes]] = []
         self.size = self.head = self.passed = 0  # bytes in all, of headers, and of the body
         self.length: int | None = None  # of the body, where the head tells
@@ -176,23 +177,33 @@
         if self.whole:
             return
         self.headed = True
+        self.method, self.old = self.parser.get_method(), self.parser.get_http_version() == "1.0"
         if not self.parser.should_keep_alive():
             self.last = True
+        if self.target[:7].lower() == b"http://":  # the form that a client gives a proxy
+            self.target = b"/" + self.target[7:].partition(b"/")[2]
         if self.is_up():
             return
-        self.catalogue = self.server.catalogue
-        self.call = self.catalogue.call(self.parser.get_method(), self.target, self.headers)
+        self.look_up()
         if (self.length or 0) > LONGEST:
             raise Reject(413, "the body is too long")
         expected = next((value for name, value in self.headers if name.lower() == b"expect"), b"")
         if expected.lower() not in (b"", b"100-continue"):
             raise Reject(417, "unknown expectation")
-        if expected and (self.chunked or self.length) and self.parser.get_http_version() == "1.1":
+        if expected and (self.chunked or self.length) and not self.old:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def look_up(self) -> Call:
+        """Its place in the settings. Hazard: what has not come whole when they change is a new request, and a
+        restriction holds for it."""
+        if self.call is None or self.catalogue is not self.server.catalogue:
+            self.catalogue = self.server.catalogue
+            self.call = self.catalogue.call(self.method, self.target, self.headers)
+        return self.call
+
     def is_up(self) -> bool:
-        return self.target == b"/up" and self.parser.get_method() == b"GET"
+        return self.target == b"/up" and self.method == b"GET"
 
     def on_body(self, data: bytes) -> None:
         if self.whole:
@@ -231,14 +242,17 @@
             elif self.upload is None and len(self.body) > HELD:
                 self.pass_on()
         except Reject as reject:
-            self.drop()
-            self.write(reject.status, str(reject).encode() + b"\n", last=True)
+            self.reject(reject)
         except Exception:
             # hazard: a fault with one request must end neither the process nor other requests
             log.exception("a request could not be read")
             self.drop()
             self.write(500, b"", last=True)
 
+    def reject(self, reject: Reject) -> None:
+        self.drop()
+        self.write(reject.status, str(reject).encode() + b"\n", last=True)
+
     def feed(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -263,14 +277,12 @@
             self.upload.finish()
             if self.open:
                 self.server.host.whole(self.ident)
-        elif self.call is not None:
-            if self.catalogue is not self.server.catalogue:
-                # hazard: what has come whole only now is a new request, and a restriction holds for it
-                self.call = self.server.catalogue.call(self.parser.get_method(), self.target, self.headers)
-            self.call.arrived_us = clock_us()
-            self.call.body = bytes(self.body)
+        else:
+            call = self.look_up()
+            call.arrived_us = clock_us()
+            call.body = bytes(self.body)
             self.open = True
-            self.ident = self.server.host.arrived(self.call, self)
+            self.ident = self.server.host.arrived(call, self)
 
     # A long body
 
@@ -282,11 +294,15 @@
         self.server.room.enter(self.enter)
 
     def enter(self) -> None:
-        if self.call is not None and self.upload is not None:
-            self.call.upload = self.upload
-            self.call.arrived_us = clock_us()
-            self.open = self.proven = True
-            self.ident = self.server.host.arrived(self.call, self, whole=False)
+        try:
+            call = self.look_up()
+        except Reject as reject:
+            self.reject(reject)
+            return
+        call.upload = self.upload
+        call.arrived_us = clock_us()
+        self.open = self.proven = True
+        self.ident = self.server.host.arrived(call, self, whole=False)
 
     def gave_up(self) -> None:
         self.server.host.passed(self.ident)
@@ -336,7 +352,7 @@
         """A long answer: its length tells its end, or a last chunk, or else the end of the connection."""
         assert self.transport is not None
         self.source = source
-        self.framed = head.length is None and self.parser.get_http_version() != "1.0"
+        self.framed = head.length is None and not self.old
         self.decide_last(last=head.length is None and not self.framed)
         lines = b"Content-Type: %s\r\n" % head.content_type if head.content_type else b""
         if self.framed:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from glenkeel.interface import RequestClass, Settings
 from plovertrail import server as server_module
 from plovertrail.body import LONGEST, Room, Upload
+from plovertrail.server import Catalogue
 from tests.net import NOT_RUN, OK, Upstream, answering, read_message, request, sidecar, until
-from tests.test_sidecar import run, status
+from tests.test_sidecar import a_client, run, status
 
 LONG = bytes(range(256)) * 4096  # 1 MiB
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -435,3 +437,38 @@
             writer.close()
 
     run(test)
+
+
+def test_a_request_is_known_by_its_own_head_whatever_follows_it() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await it.connect()
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" + request("pay", body=b"x"))
+            answers = await reader.read()
+            writer.close()
+            assert [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]] == [b"200", b"400"]
+
+    run(test)
+
+
+def test_a_target_with_its_host_goes_on_as_its_path() -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            whole = request().replace(b"GET /read", b"GET HTTP://api.internal:80/read")
+            assert status(await it.ask(whole)) == 200
+        assert upstream.requests[0][0].startswith(b"GET /read/it?x=1 HTTP/1.1\r\n")
+
+    run(test)
+
+
+def test_a_body_of_which_the_class_vanishes_while_it_comes_runs_nowhere() -> None:
+    async def test() -> None:
+        client = a_client()
+        whole = request("pay", body=LONG)
+        client.data_received(whole[:1000])
+        client.server.catalogue = Catalogue(Settings([RequestClass("read", 1_000_000, 2_000_000)]))
+        client.data_received(whole[1000:70_000])
+        assert client.ending and not client.open
+
+    run(test)
