--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -18,6 +18,7 @@
 
 LONGEST_HEAD = 16 * 1024
 LONGEST_READ_US = 2_700_000  # for a request to come; strangers are owed an end 3 s after they connect, and
+FIRST_BODY_US = 900_000  # and for the first bytes of a body after a head that took up to 2 s
 SLOWEST_BODY = 32_000  # bytes a second that earn it more time: half of what a slow client sends, and
 MOST_AHEAD_US = 5_000_000  # more than this is not earned ahead
 FRAMING = 64 * 1024  # bytes that a chunked body may have beside its own, and
@@ -185,6 +186,9 @@
         if self.is_up():
             return
         self.look_up()
+        # hazard: the first bytes of a body may be late behind a slow head; strangers are owed an end by then
+        pause_us = LONGEST_READ_US if self.proven else FIRST_BODY_US
+        self.limit_us = max(self.limit_us, clock_us() + pause_us)
         if (self.length or 0) > LONGEST:
             raise Reject(413, "the body is too long")
         expected = next((value for name, value in self.headers if name.lower() == b"expect"), b"")
