--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -189,3 +189,19 @@
                     writer.close()
 
     run(test)
+
+
+def test_a_successor_that_is_stopped_before_it_is_ready_lets_nobody_in() -> None:
+    async def test() -> None:
+        discovery = Discovery()
+        with held_socket() as held:
+            async with sidecar(Upstream(answering(OK)), discovery=discovery, inherited=held) as it:
+                await discovery.watched()
+                _, writer = await it.connect()
+                it.stop.set()
+                await it.task
+                held.setblocking(False)
+                held.accept()[0].close()  # it waits there still
+                writer.close()
+
+    run(test)
