Let clients that come again yield to new ones while a pool is thinned out

Possible causes: (a) light sidecars learn too slowly that answers are slow, (b) upstreams stay slow once crowded, (c) answers to clients that come again are late, in the place of answers in time. A trace of admitted shares, slots and answer times ruled out cold upstreams, time-outs and refusals by upstreams; (c) was measured by itself. Line at fault: Balancer.draw, which took every request alike.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -28,6 +28,7 @@
 PACE_MEMORY = 4  # answers that make up an upstream's pace
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 FEWEST_ANSWERS = 8.0  # slow ones that cut what is admitted to a tenth
+RETRY_ADMITTED = 0.9  # share admitted under which clients that come again yield; one slow answer takes less
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
@@ -391,6 +392,8 @@
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
         busy zone spills over only what it can't take: a request thinned or without a slot there."""
         for pool in self.pools if self.may_send(request) else []:
+            if request.event.retried and not request.attempts and pool.admitted < RETRY_ADMITTED:
+                continue  # hazard: its client has waited before; late, it would take the place of one in time
             if pool.credit >= 1.0:
                 best = self.free_slots(request, pool.in_use)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -799,3 +799,23 @@
     assert seen[0] == seen[1] == 0.0 and seen[2] > 50.0
     for tenant in (0, 1, 2, 3):
         assert world.sends(world.arrive(READ, tenant=tenant))
+
+
+def test_clients_that_come_again_yield_to_new_ones_while_requests_are_thinned_out() -> None:
+    world = ready_world()
+    pool = world.balancer.pools[0]
+    assert world.sends(world.arrive(READ, retried=True))
+    pool.admitted, pool.credit = 0.5, 2.0
+    again = world.arrive(READ, retried=True)
+    assert not world.sends(again)
+    assert world.sends(world.arrive(READ))
+    world.advance(1_000_000)
+    pool.admitted, pool.credit = 1.0, 1.0
+    assert world.sends(world.arrive(READ, retried=True))
+
+
+def test_one_slow_answer_does_not_keep_out_clients_that_come_again() -> None:
+    world = ready_world()
+    churn(world, 20)
+    churn(world, 1, took_us=250_000)
+    assert world.sends(world.arrive(READ, retried=True))
