Tell a client whose long body finds no room when to come back

A refusal for want of room carried no Retry-After, though the settings allow one; found by reading. It is given as for other refusals, within the settings' bound. The test fails without it.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -53,6 +53,10 @@
     return int(text)
 
 
+def retry_after(after_us: int) -> bytes:
+    return b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us else b""
+
+
 class Catalogue:
     """The classes and tenants that requests name."""
 
@@ -331,8 +335,7 @@
             head = b"Content-Type: %s\r\n" % answer.content_type if answer.content_type else b""
             self.write(200, answer.body, head)
         elif answer.verdict is Verdict.REFUSED:
-            after = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6) if answer.retry_after_us else b""
-            self.write(503, b"", after)
+            self.write(503, b"", retry_after(answer.retry_after_us))
         else:
             self.write(500, b"")
 
@@ -459,7 +462,9 @@
         if self.waits_us:
             if not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
                 self.drop()
-                self.write(503, b"", last=True)
+                settings = self.server.catalogue.settings
+                after_us = min(LONGEST_WAIT_US, settings.max_retry_after_us) if settings.retry_after else 0
+                self.write(503, b"", retry_after(after_us), last=True)
             elif self.open and now_us > self.waits_us + STALL_US:
                 self.server.host.stalled(self.ident)
         elif now_us > self.limit_us:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -19,6 +19,7 @@
     PATIENCE_S,
     Upstream,
     answering,
+    classes,
     entry,
     listing,
     read_message,
@@ -27,7 +28,7 @@
     until,
 )
 from tests.test_program import configuration, program
-from tests.test_sidecar import a_client, run, status
+from tests.test_sidecar import Sink, a_client, run, status
 
 LONG = bytes(range(256)) * 4096  # 1 MiB
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -537,3 +538,27 @@
             upstream.stop()
 
     run(test)
+
+
+def test_a_long_body_that_finds_no_room_in_time_is_refused_and_told_when_to_come_back() -> None:
+    class Wire(Sink):
+        sent = b""
+
+        def write(self, data: object) -> None:
+            assert isinstance(data, bytes)
+            self.sent += data
+
+    async def test() -> None:
+        client, wire = a_client(), Wire()
+        client.transport = wire
+        client.server.room.left = 0
+        client.server.catalogue = Catalogue(Settings(classes(), max_retry_after_us=2_000_000))
+        client.data_received(request("pay", body=LONG)[:70_000])
+        assert not client.open
+        client.check(client.waits_us + 4_000_000)
+        assert not wire.sent
+        client.check(client.waits_us + 6_000_000)
+        assert wire.sent.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 2.000\r\n" in wire.sent
+        assert not client.server.room.waiting
+
+    run(test)
