--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -365,6 +365,7 @@
     def close(self) -> None:
         self.closed = True
         self.pool.remove(self)
+        self.pool.passing.discard(self)
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -11,8 +11,10 @@
 
 from glenkeel.interface import RequestClass, Settings
 from plovertrail import server as server_module
-from plovertrail.body import LONGEST, Room, Upload
+from plovertrail.body import LONGEST, Head, Room, Source, Upload
+from plovertrail.host import Call, Result
 from plovertrail.server import Catalogue
+from plovertrail.upstreams import Pool
 from tests.net import (
     NOT_RUN,
     OK,
@@ -562,3 +564,39 @@
         assert not client.server.room.waiting
 
     run(test)
+
+
+def test_a_long_answer_whose_client_has_gone_is_let_go() -> None:
+    async def test() -> None:
+        ended = asyncio.Event()
+
+        async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG[:100])
+            assert await reader.read() == b""
+            ended.set()
+
+        upstream = Raw(play)
+        await upstream.start()
+        pool = Pool(60_000_000, 10_000_000)
+        pool.sweeper.cancel()
+        results, source = list[Result](), list[Source]()
+
+        class Nowhere:
+            def more(self, data: bytes) -> None:
+                pass
+
+        def began(head: Head, of: Source) -> Nowhere:
+            source.append(of)
+            return Nowhere()
+
+        call = Call(b"GET", b"/read", [], b"", 0, 0, 1)
+        flight = pool.start(("127.0.0.1", upstream.port), call, 1_000_000, results.append, began)
+        await until(lambda: bool(source))
+        assert len(pool.passing) == 1
+        flight.give_up()
+        await ended.wait()
+        assert not pool.passing and not results
+        upstream.stop()
+
+    run(test)
