--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -600,3 +600,26 @@
         upstream.stop()
 
     run(test)
+
+
+def test_an_upstream_that_takes_no_more_of_a_long_body_has_not_begun_with_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "STALL_US", 500_000)
+
+    async def test() -> None:
+        tries = []
+
+        async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            tries.append(await reader.readuntil(b"\r\n\r\n"))
+            await asyncio.Event().wait()  # for ever
+
+        async with sidecar(Raw(play), Raw(play)) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", body=24 * LONG))
+            async with asyncio.timeout(PATIENCE_S / 2):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503 ") and b"Retry-After" in head
+            writer.transport.abort()
+        assert len(tries) == 1
+
+    run(test)
