--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -607,11 +607,11 @@
     monkeypatch.setattr(server_module, "STALL_US", 500_000)
 
     async def test() -> None:
-        tries = []
+        tries, over = [], asyncio.Event()
 
         async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             tries.append(await reader.readuntil(b"\r\n\r\n"))
-            await asyncio.Event().wait()  # for ever
+            await over.wait()
 
         async with sidecar(Raw(play), Raw(play)) as it:
             reader, writer = await it.connect()
@@ -620,6 +620,7 @@
                 head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 503 ") and b"Retry-After" in head
             writer.transport.abort()
+            over.set()
         assert len(tries) == 1
 
     run(test)
