Give a test's sidecar two different ports

Seen: in one of some ten runs of the whole check a request got 404 for 400. The answer was the operators' address's: both ports had been picked one after the other and let go, and were the same. They are now held together while they are picked.

--- a/tests/net.py
+++ b/tests/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -139,10 +140,17 @@
             writer.transport.abort()
 
 
+def free_ports(count: int) -> list[int]:
+    """Different ones: a port that has been let go may be given out again at once."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    return free_ports(1)[0]
 
 
 def request(kind: str = "read", ident: str = "1", body: bytes = b"", deadline_ms: object = 15_000,
@@ -195,7 +203,7 @@
                               "max_retry_after_us": 1_000_000, "list_on_request": discovery is not None,
                               "ask_within_us": 10_000_000}
     known = known or listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
-    port, admin_port, stop = free_port(), free_port(), asyncio.Event()
+    (port, admin_port), stop = free_ports(2), asyncio.Event()
     config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", discovery.port if discovery else 1),
                     seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
                     idle_us=idle_us, known=known, admin=("127.0.0.1", admin_port))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -22,7 +22,7 @@
     Upstream,
     answering,
     entry,
-    free_port,
+    free_ports,
     listing,
     read_message,
     request,
@@ -155,7 +155,8 @@
             return status(answer) == 200
 
         with held_socket() as held:
-            keep, port, first, second = held.fileno(), held.getsockname()[1], free_port(), free_port()
+            keep, port = held.fileno(), held.getsockname()[1]
+            first, second = free_ports(2)
             with (program(path, (keep,), BALANCER_SOCKET_FD=str(keep),
                           BALANCER_ADMIN=f"127.0.0.1:{first}") as old,
                   program(path, (keep,), BALANCER_SOCKET_FD=str(keep),
