--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -17,12 +17,12 @@
 log = logging.getLogger(__name__)
 
 LONGEST_HEAD = 16 * 1024
-LONGEST_READ_US = 2_700_000  # for a request to come; strangers are owed an end 3 s after they connect, and
-FIRST_BODY_US = 900_000  # and for the first bytes of a body after a head that took up to 2 s
-SLOWEST_BODY = 32_000  # bytes a second that earn it more time: half of what a slow client sends, and
-MOST_AHEAD_US = 5_000_000  # more than this is not earned ahead
-FRAMING = 64 * 1024  # bytes that a chunked body may have beside its own, and
-FRAMING_PART = 16  # for each byte of it so many: pieces may be of any size
+LONGEST_READ_US = 2_700_000  # for a request to come whole; strangers are owed an end 3 s after they connect
+FIRST_BODY_US = 900_000  # for the first bytes of a body, behind a head that may have taken 2 s
+SLOWEST_BODY = 32_000  # bytes a second that earn it more time: half of what a slow client sends
+MOST_AHEAD_US = 5_000_000  # more time than this is not earned ahead
+FRAMING = 64 * 1024  # bytes that chunks may take beside the body itself
+FRAMING_PART = 16  # and so many more for each byte of it: pieces may be of any size
 LONGEST_WAIT_US = 5_000_000  # for room for a long body
 UNWRITTEN = 32 * 1024  # of a long answer, before its upstream is held back
 BACKLOG = 512  # connections not yet accepted
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -16,8 +16,8 @@
 log = logging.getLogger(__name__)
 
 LONGEST_HEAD = 64 * 1024  # an answer's headers; a megabyte of them takes 40 ms to read, and all others wait
-FRAMING = 1024 * 1024  # bytes that an answer may have beside its body, and
-FRAMING_PART = 16  # for each byte of it so many: pieces may be of any size
+FRAMING = 1024 * 1024  # bytes that an answer may take beside its body
+FRAMING_PART = 16  # and so many more for each byte of it: pieces may be of any size
 HOLD_S = 0.1  # an answer of unknown length that takes longer passes through, lest its first bytes be late
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 YOUNG_US = 25_000  # connections idle for less are in steady use
