Write chunk framing, turning a client away, and status phrases once each

Found on reading the whole change again; behaviour is as it was. Chunks were framed by the client's and by the upstream's side alike (body.chunk now), a client was dropped and answered in four places (Client.turn_away), the operators' address had a table of status phrases of its own, and one flag was set twice.

--- a/plovertrail/admin.py
+++ b/plovertrail/admin.py
@@ -9,13 +9,13 @@
 
 import httptools
 
+from plovertrail.server import REASONS
+
 log = logging.getLogger(__name__)
 
 MOST_CALLERS = 16  # connections; a few that stall and some that don't
 LONGEST_CALL_S = 2.0  # for a call to come whole; a caller waits 1 s for its answer
 LONGEST_CALL = 8 * 1024  # bytes
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 413: b"Content Too Large", 503: b"Service Unavailable"}
 
 
 @dataclass(slots=True)
--- a/plovertrail/body.py
+++ b/plovertrail/body.py
@@ -15,6 +15,14 @@
 _READ = 64 * 1024  # a piece: each stream that waits for its peer holds one
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> list[bytes]:
+    """A piece of a body whose length is not known, as it goes on the wire."""
+    return [b"%x\r\n" % len(data), data, b"\r\n"]
+
+
 class Reading(asyncio.BufferedProtocol):
     """Reads pieces of a bounded size into one buffer that all connections share, as each is used at once.
 
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -10,7 +10,18 @@
 import httptools
 
 from glenkeel.interface import Settings
-from plovertrail.body import HELD, LONGEST, STALL_US, Head, Reading, Room, Source, Upload
+from plovertrail.body import (
+    HELD,
+    LAST_CHUNK,
+    LONGEST,
+    STALL_US,
+    Head,
+    Reading,
+    Room,
+    Source,
+    Upload,
+    chunk,
+)
 from plovertrail.host import Answer, Call, Host, Verdict, clock_us
 from plovertrail.lifecycle import Lifecycle, State
 
@@ -34,9 +45,9 @@
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
     b"content-length", b"transfer-encoding", b"x-deadline-ms"))
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-           413: b"Content Too Large", 417: b"Expectation Failed", 500: b"Internal Server Error",
-           501: b"Not Implemented", 503: b"Service Unavailable"}
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout", 413: b"Content Too Large", 417: b"Expectation Failed",
+           500: b"Internal Server Error", 501: b"Not Implemented", 503: b"Service Unavailable"}
 
 
 class Reject(Exception):
@@ -254,12 +265,14 @@
         except Exception:
             # hazard: a fault with one request must end neither the process nor other requests
             log.exception("a request could not be read")
-            self.drop()
-            self.write(500, b"", last=True)
+            self.turn_away(500)
 
     def reject(self, reject: Reject) -> None:
+        self.turn_away(reject.status, str(reject).encode() + b"\n")
+
+    def turn_away(self, status: int, body: bytes = b"", head: bytes = b"") -> None:
         self.drop()
-        self.write(reject.status, str(reject).encode() + b"\n", last=True)
+        self.write(status, body, head, last=True)
 
     def feed(self, data: bytes) -> None:
         try:
@@ -372,7 +385,7 @@
         assert self.transport is not None
         if data and not self.transport.is_closing():
             if self.framed:
-                self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+                self.transport.writelines(chunk(data))
             else:
                 self.transport.write(data)
 
@@ -388,7 +401,7 @@
             self.transport.abort()
         elif not self.transport.is_closing():
             if self.framed:
-                self.transport.write(b"0\r\n\r\n")
+                self.transport.write(LAST_CHUNK)
             self.over()
 
     def over(self) -> None:
@@ -461,16 +474,14 @@
             return
         if self.waits_us:
             if not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
-                self.drop()
                 settings = self.server.catalogue.settings
                 after_us = min(LONGEST_WAIT_US, settings.max_retry_after_us) if settings.retry_after else 0
-                self.write(503, b"", retry_after(after_us), last=True)
+                self.turn_away(503, head=retry_after(after_us))
             elif self.open and now_us > self.waits_us + STALL_US:
                 self.server.host.stalled(self.ident)
         elif now_us > self.limit_us:
-            self.drop()
             if self.begun_us:
-                self.write(408, b"", last=True)
+                self.turn_away(408)
             else:
                 self.close()
 
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -10,7 +10,18 @@
 import httptools
 
 from glenkeel.interface import Outcome
-from plovertrail.body import HELD, LONGEST, STALL_US, Head, Reading, Sink, Source, Upload
+from plovertrail.body import (
+    HELD,
+    LAST_CHUNK,
+    LONGEST,
+    STALL_US,
+    Head,
+    Reading,
+    Sink,
+    Source,
+    Upload,
+    chunk,
+)
 from plovertrail.host import Call, Result, clock_us
 
 log = logging.getLogger(__name__)
@@ -110,12 +121,12 @@
         self.idled_us = -1  # before the attempt that it carries; -1 for its first
         self.closed = False
         self.unsent = False  # part of what was written is still with us
-        self.complete = False  # the answer is whole
         self.unfinished = False  # the rest of the request's body is still to come
         self.forget_answer()
 
     def forget_answer(self) -> None:
-        self.complete = self.headed = self.not_run = self.chunked = False
+        self.complete = False  # the answer is whole
+        self.headed = self.not_run = self.chunked = False
         self.status = 0
         self.content_type = b""
         self.length: int | None = None
@@ -184,14 +195,14 @@
         if not data:
             return
         if self.attempt.upload.length is None:
-            self.transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
+            self.transport.writelines(chunk(data))
         else:
             self.transport.write(data)
 
     def body_end(self) -> None:
         assert self.transport is not None and self.attempt is not None and self.attempt.upload is not None
         if self.attempt.upload.length is None:
-            self.transport.write(b"0\r\n\r\n")
+            self.transport.write(LAST_CHUNK)
         self.unfinished = False
 
     def let_go(self, attempt: Attempt) -> None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -162,6 +162,18 @@
             f"X-Class: {kind}\r\nX-Deadline-Ms: {deadline_ms}\r\n{key}{length}{extra}\r\n").encode() + body
 
 
+async def listening(port: int, alive: Callable[[], bool] = lambda: True) -> None:
+    """Until the program takes connections there."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            try:
+                (await asyncio.open_connection("127.0.0.1", port))[1].close()
+                return
+            except ConnectionRefusedError:
+                assert alive()
+                await asyncio.sleep(0.01)
+
+
 @dataclass
 class Sidecar:
     """A running sidecar as its application sees it."""
@@ -211,15 +223,8 @@
         port = inherited.getsockname()[1]
     task = asyncio.create_task(serve(config, stop, inherited=inherited and inherited.dup()))
     try:
-        async with asyncio.timeout(PATIENCE_S):
-            while inherited is None:
-                try:
-                    _, writer = await asyncio.open_connection("127.0.0.1", port)
-                    writer.close()
-                    break
-                except ConnectionRefusedError:
-                    assert not task.done()
-                    await asyncio.sleep(0.01)
+        if inherited is None:
+            await listening(port, lambda: not task.done())
         yield Sidecar(port, stop, task, admin_port)
     finally:
         task.cancel()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -23,6 +23,7 @@
     answering,
     classes,
     entry,
+    listening,
     listing,
     read_message,
     request,
@@ -518,13 +519,7 @@
         host, port = whole["listen"].split(":")
         writers = []
         with program(path) as process:
-            async with asyncio.timeout(PATIENCE_S):
-                while True:
-                    try:
-                        writers.append((await asyncio.open_connection(host, int(port)))[1])
-                        break
-                    except ConnectionRefusedError:
-                        await asyncio.sleep(0.02)
+            await listening(int(port))
             for number in range(2 * many):
                 reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
                 writers.append(writer)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -27,6 +27,7 @@
     answering,
     entry,
     free_port,
+    listening,
     listing,
     read_message,
     request,
@@ -130,23 +131,26 @@
     asyncio.run(test())
 
 
-def without(whole: Any, path: str) -> Any:
-    """A copy that lacks the key at the end of this path."""
+def copied(whole: Any, path: str) -> tuple[Any, Any, str]:
+    """A copy, with the part of it that holds the key at the end of this path, and that key."""
     copy = json.loads(json.dumps(whole))
     *way, last = path.split(".")
     inner: Any = copy
     for key in way:
         inner = inner[int(key) if isinstance(inner, list) else key]
+    return copy, inner, last
+
+
+def without(whole: Any, path: str) -> Any:
+    """A copy that lacks this key."""
+    copy, inner, last = copied(whole, path)
     del inner[last]
     return copy
 
 
 def with_value(whole: Any, path: str, value: object) -> Any:
-    copy = json.loads(json.dumps(whole))
-    *way, last = path.split(".")
-    inner: Any = copy
-    for key in way:
-        inner = inner[int(key) if isinstance(inner, list) else key]
+    """A copy with another value there."""
+    copy, inner, last = copied(whole, path)
     inner[last] = value
     return copy
 
@@ -246,12 +250,7 @@
 
         with program(path) as process:
             async with asyncio.timeout(PATIENCE_S):
-                while True:
-                    try:
-                        (await asyncio.open_connection(host, int(port)))[1].close()
-                        break
-                    except ConnectionRefusedError:
-                        await asyncio.sleep(0.02)
+                await listening(int(port))
                 assert await ask("read") == 404
                 under_way = asyncio.create_task(ask("pay"))
                 await until(lambda: len(upstream.requests) == 1)
@@ -304,12 +303,7 @@
         stopped, answered = asyncio.Event(), set[str]()
         with program(path) as process:
             async with asyncio.timeout(PATIENCE_S):
-                while True:
-                    try:
-                        (await asyncio.open_connection("127.0.0.1", port))[1].close()
-                        break
-                    except ConnectionRefusedError:
-                        await asyncio.sleep(0.02)
+                await listening(port)
                 async with asyncio.TaskGroup() as group:
                     for name in range(8):
                         group.create_task(client(name, port, stopped, answered))
