Add the lab: stand-ins, links with faults, load, checker, figures, report and command

Need: zones, membership, discovery and recovery can't be proven by one process in a test.

`garnetusher/model` holds plain objects (experiment, plan, machine, link), which the virtual-time model is to share; `garnetusher/lab` puts them on sockets in processes of its own. Every pair of a stand-in and a sidecar has a listening socket of its own, and its link lives in the stand-in's process. The faults of a play, and what the list says when, are planned from the seed before anything starts.

Option not taken: a proxy process for each pair. It would copy each byte twice more (3,000 pairs at size), its processor time would look like the sidecar's, and a proxy that accepts can't show a connection that never comes up; a full accept queue does, at no cost.

--- /dev/null
+++ b/garnetusher/lab/commands.py
@@ -0,0 +1,131 @@
+"""`garnetusher lab`: experiments on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from garnetusher import cli, config, logs
+from garnetusher.lab import compare as comparison
+from garnetusher.lab import figures, report, result
+from garnetusher.lab.play import play
+from garnetusher.lab.sidecars import LabError
+from garnetusher.model import experiment as experiments
+from garnetusher.model import plan as plans
+from garnetusher.model.experiment import Experiment
+
+app = typer.Typer(no_args_is_help=True, help="Experiments on real processes, with faults between them.")
+
+File = Annotated[Path, typer.Argument(help="The experiment, in TOML; experiments/ has a library of them.")]
+Seed = Annotated[int | None, typer.Option(help="Of all random draws; else the file's.", min=0)]
+Tree = Annotated[Path, typer.Option(help="The checkout whose `deploy/balancer.toml` starts the sidecars.")]
+Json = Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")]
+
+
+@app.callback()
+def lab() -> None:
+    """Experiments on real processes, with faults between them."""
+
+
+@app.command(epilog="Example: garnetusher lab run experiments/calm.toml --seed 3 --out found/calm")
+def run(file: File, seed: Seed = None,
+        out: Annotated[Path | None, typer.Option(help="A new folder for the results; else one under found/.")] = None,
+        tree: Tree = Path("."), json: Json = False) -> None:
+    """Play one experiment; print its figures against their bounds, and where the report is."""
+    experiment = _load(file)
+    number = experiment.seed if seed is None else seed
+    folder = out or Path("found") / f"{experiment.name}-{number}-{time.strftime('%H%M%S')}"
+    if folder.exists() and any(folder.iterdir()):
+        cli.fail(f"--out {folder}: expected a new or empty folder")
+    with cli.progress(f"{experiment.name}, seed {number}") as progress:
+        found = _play(experiment, number, tree, folder, progress)
+    if json:
+        cli.say_json({"name": found.name, "seed": found.seed, "held": found.held, "figures": found.figures,
+                      "broken": found.broken, "late": found.late,
+                      "expectations": found.expectations, "report": str(folder / "report.html")})
+    else:
+        _tell(found)
+        cli.say(f"report: {folder / 'report.html'}")
+    raise typer.Exit(cli.HELD if found.held else cli.NOT_HELD)
+
+
+@app.command(epilog="Example: garnetusher lab compare experiments/calm.toml --tree . --tree ../before --pairs 5")
+def compare(file: File, tree: Annotated[list[Path], typer.Option(help="Two of them: A, then B.")],
+            pairs: Annotated[int, typer.Option(min=1, help="Plays of each; 3 at least for an interval.")] = 5,
+            seed: Seed = None,
+            out: Annotated[Path | None, typer.Option(help="A new folder for the results.")] = None,
+            json: Json = False) -> None:
+    """Play two trees in turn on the same draws; give each figure's difference with an interval of 95 in 100."""
+    if len(tree) != 2:
+        cli.fail(f"--tree: expected two of them, A and B, got {len(tree)}")
+    experiment = _load(file)
+    first = experiment.seed if seed is None else seed
+    folder = out or Path("found") / f"compare-{experiment.name}-{time.strftime('%H%M%S')}"
+    plays: list[list[result.Result]] = [[], []]
+    with cli.progress(f"{experiment.name}, {pairs} pairs") as progress:
+        for pair in range(pairs):
+            order = (0, 1) if pair % 2 == 0 else (1, 0)  # whatever drifts meets both alike
+            for which in order:
+                place = folder / f"{'ab'[which]}-{pair}"
+                done = sum(map(len, plays)) / (2 * pairs)
+                plays[which].append(_play(experiment, first + pair, tree[which], place,
+                                          lambda what, part, done=done: progress(  # type: ignore[misc]
+                                              what, done + part / (2 * pairs))))
+    late = [r for some in plays for r in some if r.late]
+    a, b = ([r.figures for r in some] for some in plays)
+    found = comparison.differences(a, b)
+    if json:
+        cli.say_json({"name": experiment.name, "trees": [str(t) for t in tree], "pairs": pairs, "late": len(late),
+                      "differences": [msgspec.structs.asdict(d) | {"shown": d.shown} for d in found]})
+    else:
+        for d in sorted(found, key=lambda d: not d.shown):
+            cli.say(str(d))
+        if late:
+            cli.say(f"in {len(late)} plays the lab itself was late: they count for nothing")
+    raise typer.Exit(cli.NOT_HELD if late or any(r.broken for some in plays for r in some) else cli.HELD)
+
+
+def _load(file: Path) -> Experiment:
+    try:
+        return experiments.load(file)
+    except config.FileError as error:
+        cli.fail(str(error))
+
+
+def _play(experiment: Experiment, seed: int, tree: Path, folder: Path,
+          progress: Callable[[str, float], None]) -> result.Result:
+    """One play, with all its files written."""
+    plan = plans.make(experiment, seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    with (folder / "lab.log").open("w", encoding="utf-8") as stream:
+        logs.configure(stream)
+        try:
+            began_ms = int(time.time() * 1000)
+            played = asyncio.run(play(experiment, plan, tree, folder, progress))
+        except LabError as error:
+            cli.fail(str(error), cli.WRONG)
+        except asyncio.CancelledError:
+            cli.fail("stopped; nothing was left running", cli.NOT_HELD)
+        found, requests = result.judge(experiment, played, str(tree))
+        logs.logger().info("lab.play.ends", experiment=experiment.name, seed=seed, held=found.held,
+                           broken=len(found.broken), late=played.late_share)
+    result.write(found, folder / "result.json")
+    figures.histograms(experiment, plan, requests, folder / "latency.hlog", began_ms)
+    report.write(experiment, played, found, requests, folder / "report.html")
+    return found
+
+
+def _tell(found: result.Result) -> None:
+    cli.say(f"{found.name}, seed {found.seed}: {'held' if found.held else 'did not hold'}")
+    for line in found.expectations:
+        state = ("open, reached here" if line.held else "open") if line.open else "held" if line.held else "NOT HELD"
+        figure = "-" if line.figure is None else f"{line.figure:.4g}"
+        cli.say(f"  {line.name:<36} {figure:>9}  {line.bound:<10} {state}")
+    for why in found.why:
+        cli.say(f"  {why}")
--- /dev/null
+++ b/tests/faulty/misdeeds.py
@@ -0,0 +1,66 @@
+"""The sidecar with one seeded fault each, for the checker to catch: `python -m tests.faulty.misdeeds NAME`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from glenkeel.balance import Balancer, Request
+from glenkeel.interface import UpstreamState
+from plovertrail import __main__ as program
+from plovertrail import discovery, host, server
+
+
+def answers_twice() -> None:
+    """One answer in fifty is written again behind itself."""
+    write: Callable[..., None] = server.Client.write
+    count = 0
+
+    def twice(self: Any, status: int, body: bytes, head: bytes = b"", last: bool = False) -> None:
+        nonlocal count
+        write(self, status, body, head, last)
+        count += 1
+        if count % 50 == 0 and not self.ending:
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    server.Client.write = twice  # type: ignore[method-assign]
+
+
+def repeats_unsafe() -> None:
+    """What may have run is forgotten."""
+    Request.first_that_may_have_run = lambda self: None  # type: ignore[method-assign]
+
+
+def sends_to_drained() -> None:
+    """An upstream that leaves is taken for a ready one."""
+    discovery.STATES["leaving"] = UpstreamState.READY
+
+
+def pushes_cold_over() -> None:
+    """A cold upstream is taken for a warm one."""
+    Balancer.warmth = lambda self, server: 1.0  # type: ignore[method-assign]
+
+
+def holds_back() -> None:
+    """What is given up is answered just before the client's time is out."""
+    answer = host.Host._answer
+
+    def late(self: host.Host, ident: int, answer_: host.Answer) -> None:
+        request = self.requests.get(ident)
+        if request is None or request.over or answer_.verdict is host.Verdict.SERVED:
+            answer(self, ident, answer_)
+            return
+        after = max(0.0, (request.due_us - 30_000 - host.clock_us()) / 1e6)
+        asyncio.get_running_loop().call_later(after, answer, self, ident, answer_)
+
+    host.Host._answer = late  # type: ignore[method-assign, assignment]
+
+
+MISDEEDS = {deed.__name__: deed for deed in (answers_twice, repeats_unsafe, sends_to_drained, pushes_cold_over,
+                                             holds_back)}
+
+if __name__ == "__main__":
+    MISDEEDS[sys.argv[1]]()
+    sys.exit(program.main())
