Prove the lab by its own tests, add UDP links, choking machines and the library of experiments

Need: a lab that can't be trusted proves nothing. Its checker has to catch what is wrong and blame nobody else, it has to leave no process behind, and `run` has to stay what it was.

UDP relays for members to come, throttled links, machines that choke when crowded, as the operators describe them.

--- a/garnetusher/lab/figures.py
+++ b/garnetusher/lab/figures.py
@@ -263,5 +263,5 @@
                 histogram = by.setdefault((second, r.cls), HdrHistogram(1, HIGHEST_US, DIGITS))
                 histogram.record_value(min(HIGHEST_US, max(1, r.answered_us - r.first_us)))
         for (second, cls), histogram in sorted(by.items()):
-            histogram.set_tag(experiment.classes[cls].name)
+            file.write(f"Tag={experiment.classes[cls].name},")  # the library reads tags and writes none
             writer.output_interval_histogram(histogram, second, second + 1, 1000.0)
--- a/garnetusher/lab/play.py
+++ b/garnetusher/lab/play.py
@@ -137,6 +137,7 @@
         self.workers: list[_WorkerProcess] = []
         self.fleet: Fleet | None = None
         self.zero_ns = time.monotonic_ns()
+        self.cleaned = False
         self.network = 64 + int(draw.uniform(os.getpid(), time.monotonic_ns()) * 128)  # two labs seldom share it
 
     def now_us(self) -> int:
@@ -242,7 +243,10 @@
                       {name: round(c.cpu_s, 2) for name, c in closings.items()})
 
     async def clean(self) -> None:
-        count = 0
+        """End whatever still runs; told again it does nothing."""
+        if self.cleaned:
+            return
+        self.cleaned, count = True, 0
         if self.fleet is not None:
             count += await self.fleet.end()
         for worker in self.workers:
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -47,6 +47,7 @@
     cross_zone_ms: NotNegative = 2.0
     cross_region_ms: NotNegative = 30.0
     jitter: Share = 0.25  # of each time, either way
+    link_kb_per_s: NotNegative = 0.0  # that a link carries each way, in thousands of bytes; 0: as much as comes
 
     @property
     def zones(self) -> list[str]:
@@ -70,6 +71,12 @@
     speed_spread: Share = 0.1  # of the true speeds, either way
     thrash: NotNegative = 0.04  # each held request per core beyond `thrash_at` adds this to all service times
     thrash_at: NotNegative = 5.0
+    choke_times: Annotated[float, Meta(ge=1)] = 2.6  # slower, once it has been crowded for long; 1: never
+    choke_at: Positive = 5.5  # requests held per core, beyond which it counts as crowded
+    choke_over_s: Positive = 2.0  # for so long
+    choke_below: Share = 0.34  # it recovers once it has held less than this per core
+    choke_rest_s: Positive = 3.5  # for so long,
+    choke_most_s: Positive = 27.0  # or after this at the latest
     cold_share: Annotated[float, Meta(gt=0, le=1)] = 0.2  # of its capacity, right after a start
     warm_up_s: Positive = 18.0
     overload_factor: Positive = 3.0  # a cold one that is sent this multiple of its capacity
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,104 @@
+"""Links on real sockets: a cut is silence and no close, one way or both, and a mended link carries on."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from garnetusher.lab import linked
+from garnetusher.lab.clockwork import Clockwork
+from garnetusher.lab.datagrams import Relay
+from garnetusher.lab.records import Journal
+from garnetusher.model.link import Weather
+
+HOST = "127.77.0.1"
+COUNTED = 400
+
+
+class Echo:
+    """Says what it hears."""
+
+    def __init__(self, connection: linked.Connection, heard: list[bytes], kept: list[bytes]) -> None:
+        self.connection, self.heard, self.kept = connection, heard, kept
+
+    def received(self, data: bytes) -> None:
+        self.heard.append(data)
+        self.connection.write(data.upper())
+
+    def lost(self) -> None:
+        self.heard.append(b"lost")
+
+    def held(self, data: bytes) -> None:
+        self.kept.append(data)
+
+
+@pytest.mark.parametrize(("to_party", "to_sidecar"), [(True, True), (True, False), (False, True)])
+def test_a_cut_is_silent_and_a_mended_link_carries_on(tmp_path: Path, to_party: bool, to_sidecar: bool) -> None:
+    async def test() -> None:
+        clock, heard, kept = Clockwork("test", Journal(tmp_path / "x")), list[bytes](), list[bytes]()
+        listener = linked.Listener(clock, HOST, lambda c: Echo(c, heard, kept), 1, Weather(delay_us=2_000))
+        listener.open()
+        reader, writer = await asyncio.open_connection(HOST, listener.port)
+        writer.write(b"one")
+        assert await asyncio.wait_for(reader.read(9), 5) == b"ONE"
+        listener.cut(to_party, to_sidecar)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(9), 0.4)
+        assert heard == ([b"one"] if to_party else [b"one", b"two"]) and kept == ([b"two"] if to_party else [])
+        for _ in range(3):  # nobody comes in, and nobody is refused
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(asyncio.open_connection(HOST, listener.port), 0.15)
+        listener.mend(to_party, to_sidecar)
+        reader, writer = await asyncio.open_connection(HOST, listener.port)  # the old one's read was cancelled
+        writer.write(b"three")
+        assert await asyncio.wait_for(reader.read(9), 5) == b"THREE"
+        async with asyncio.timeout(5):
+            while b"two" not in heard:
+                await asyncio.sleep(0.01)
+        listener.refuse()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(HOST, listener.port)
+        listener.open()  # at the same port again
+        (await asyncio.open_connection(HOST, listener.port))[1].close()
+        listener.close()
+
+    asyncio.run(test())
+
+
+def test_members_meet_by_datagrams_that_are_lost_doubled_and_cut_one_way(tmp_path: Path) -> None:
+    class Member(asyncio.DatagramProtocol):
+        def __init__(self) -> None:
+            self.heard: list[tuple[bytes, tuple[str, int]]] = []
+
+        def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
+            self.heard.append((data, sender))
+
+    async def test() -> None:
+        loop, made = asyncio.get_running_loop(), {}
+        for name in ("x", "y", "z"):
+            made[name] = await loop.create_datagram_endpoint(Member, local_addr=(HOST, 0))
+        relay = Relay(Clockwork("test", Journal(tmp_path / "x")),
+                      {name: transport.get_extra_info("sockname") for name, (transport, _) in made.items()}, 1)
+        await relay.open(HOST)
+        relay.weather["x", "y"].loss, relay.weather["x", "y"].duplicate = 0.25, 0.5
+        relay.weather["x", "z"].cut = 1
+        for number in range(COUNTED):
+            for name in ("y", "z"):
+                made["x"][0].sendto(b"%d" % number, relay.as_seen_by("x", name))
+            made["z"][0].sendto(b"%d" % number, relay.as_seen_by("z", "x"))
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.3)
+        heard = made["y"][1].heard
+        assert {sender for _, sender in heard} == {relay.as_seen_by("y", "x")}
+        assert 0.65 < len({data for data, _ in heard}) / COUNTED < 0.85 and len(heard) > 1.2 * len(set(heard))
+        assert made["z"][1].heard == [] and len(made["x"][1].heard) == COUNTED
+        stranger, _ = await loop.create_datagram_endpoint(Member, local_addr=(HOST, 0))
+        stranger.sendto(b"hello", relay.as_seen_by("z", "x"))
+        await asyncio.sleep(0.05)
+        assert len(made["x"][1].heard) == COUNTED
+        relay.close()
+
+    asyncio.run(test())
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -72,6 +72,20 @@
     assert machine.wakeup(139_000) == [] and machine.wakeup(140_010) == [Finished(2)]
 
 
+def test_a_machine_crowded_for_long_chokes_until_it_has_rested() -> None:
+    figures = Upstreams(per_zone={}, cores=1, thrash=0, choke_at=2, choke_over_s=1, choke_rest_s=0.5)
+    machine = Upstream(figures, 1.0)
+    for job in range(4):
+        machine.arrive(0, job, 600_000)
+    assert [len(machine.wakeup(t)) for t in (600_010, 1_200_020)] == [1, 1] and machine.choked_us is not None
+    assert machine.wakeup(2_700_000) == [] and machine.wakeup(2_800_000) == [Finished(2)]  # 2.6 times 0.6 s
+    assert machine.wakeup(4_400_000) == [Finished(3)] and machine.choked_us is not None  # rested for a moment only
+    machine.wakeup(4_600_000)
+    assert machine.choked_us is not None
+    machine.arrive(5_000_000, 9, 1_000)
+    assert machine.choked_us is None
+
+
 def test_a_full_machine_turns_away() -> None:
     machine = Upstream(Upstreams(per_zone={}, cores=1, queue_per_core=2), 1.0)
     assert [machine.arrive(0, job, 1000) for job in range(4)][3] == [TurnedAway(3)]
