--- a/garnetusher/__main__.py
+++ b/garnetusher/__main__.py
@@ -12,6 +12,7 @@
 
 GROUPS = {"lab": ("garnetusher.lab.commands", "Experiments on real processes, with faults between them."),
           "model": ("garnetusher.cli.virtual", "The same experiments in virtual time, with the real decisions."),
+          "zones": ("garnetusher.cli.zones", "What a sidecar believes of each zone; leave one, or return to it."),
           "config": ("garnetusher.cli.files", "Check files without running anything.")}
 
 
--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -7,8 +7,10 @@
 import heapq
 import math
 import random
+from collections import Counter
 
 from glenkeel import interface as api
+from glenkeel.zones import State, Zone, Zones
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
@@ -38,10 +40,13 @@
 COLD_ALLOWANCE = 0.2  # of the rate allowed to this sidecar: with the answers within thrice the least warmth
 CALL_GAP_US = 250_000  # between the fleet's calls to discovery, at first: one costs it up to 0.2 s
 FIRST_ASK_PART = 0.8  # of ask-within, in which the first call is made
+TIERS = 3  # this zone, this region, other regions
+LATE_TIMES = 3.0  # the usual answer time, at most half the aim, after which an attempt speaks against its zone
 
 
 class Pool:
-    """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
+    """Upstreams thinned together: all, or, where crossing zones costs, those of a tier: this zone, this region's
+    others, other regions'."""
 
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
@@ -55,6 +60,7 @@
         self.weighed_us = -1
         self.all_cold = False  # none of them sets the pace
         self.arrival_us = now_us  # of the last request
+        self.pace = 1.0  # of its answers, smoothed: far away they take longer
 
 
 class Server:
@@ -62,6 +68,7 @@
 
     def __init__(self, entry: api.Upstream, pool: Pool) -> None:
         self.entry = entry
+        self.started_us = entry.started_us  # as listed, or as its zone's return tells
         self.pool = pool
         self.used = 0  # slots taken by this sidecar's sends
         self.window = FIRST_SLOTS  # slots open while it is well; below 1 the one slot rests between sends
@@ -98,6 +105,7 @@
         self.sent_us = now_us
         self.ended: api.Outcome | None = None  # None while it is out
         self.holds_slot = False
+        self.late = False  # out for longer than answers take
 
 
 class Request:
@@ -132,7 +140,9 @@
         self.buffer: Request | None = None
         self.kinds = [Kind(rules) for rules in settings.classes]
         self.parties = [Party(tenant) for tenant in settings.tenants]
-        self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
+        self.pools = [Pool(now_us) for _ in range(TIERS)]  # a tier each, drawn from in this order; may be empty
+        self.zones = Zones(settings, seed, now_us, self.on_zone)
+        self.zones_left: list[Zone] = []  # in this event
         self.retries = MOST_RETRIES  # reissues in hand
         self.short_us = 0  # when a request last found no free slot
         self.allowed_per_s = max(1.0, sum(party.allowance_per_s for party in self.parties))
@@ -166,6 +176,10 @@
             self.on_list(event)
         elif isinstance(event, api.SettingsChanged):
             self.on_settings(event)
+        elif isinstance(event, api.ZoneOrdered):
+            self.zones.order(event.zone, event.leave, now_us)
+        while self.zones_left:
+            self.leave_zone(self.zones_left.pop())
         self.fill_from_buffer()
         self.arm()
         actions, self.actions = self.actions, []
@@ -191,6 +205,7 @@
     def on_settings(self, event: api.SettingsChanged) -> None:
         """What has been learnt of a class or a tenant goes with its name; upstreams stay as they are."""
         asked, self.settings = self.settings.list_on_request, event.settings
+        self.zones.settings = event.settings
         kinds, parties = self.kinds, self.parties
         self.kinds = [Kind(rules, kinds[place].mean_us if place is not None else None)
                       for rules, place in zip(event.settings.classes, event.classes_before, strict=True)]
@@ -321,7 +336,11 @@
         slow_us = kind.half_aim_us
         load = min(2.0, elapsed_us / slow_us) if outcome in (api.Outcome.OK, api.Outcome.CANCELLED) else 2.0
         pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / kind.mean_us
-        server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
+        pace = min(max(pace, 0.1), SLOWEST_PACE)
+        server.pace += (pace - server.pace) / PACE_MEMORY
+        if outcome is api.Outcome.OK:
+            pool.pace += (pace - pool.pace) / 8
+        self.judge_zone(attempt, outcome, elapsed_us, pace)
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT, api.Outcome.FULL):
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
@@ -362,8 +381,8 @@
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has. Hazard: calling it warm any sooner
         lets in all sidecars at one moment, and together they push it over."""
-        s, age_us = self.settings, self.now_us - server.entry.started_us
-        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
+        s, age_us = self.settings, self.now_us - server.started_us
+        if server.started_us == 0 or age_us >= s.warm_up_us:
             return 1.0
         return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
 
@@ -391,28 +410,60 @@
     def draw(self, request: Request) -> Server | None:
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
         busy zone spills over only what it can't take: a request thinned or without a slot there."""
-        for pool in self.pools if self.may_send(request) else []:
+        if not self.may_send(request):
+            return None
+        tried = self.draw_try(request)
+        if tried is not None:
+            return tried
+        shut = self.zones.shut()
+        if request.kind.rules.effect == "at_most_once" and (doubted := self.zones.doubted()):
+            # hazard: what is lost with the zone can't be sent again; nothing that may be repeated tells it as well
+            found = self.draw_slot(request, shut | doubted)
+            if found is not None:
+                return found
+        return self.draw_slot(request, shut)
+
+    def draw_slot(self, request: Request, shut: set[int]) -> Server | None:
+        for number, pool in enumerate(self.pools):
+            if number == TIERS - 1 and not self.worth_the_way(request, pool):
+                continue
             if request.event.retried and not request.attempts and pool.admitted < RETRY_ADMITTED:
                 continue  # hazard: its client has waited before; late, it would take the place of one in time
             if pool.credit >= 1.0:
-                best = self.free_slots(request, pool.in_use)
+                best = self.free_slots(request, pool.in_use, shut)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
-                    best = self.free_slots(request, others) or best
+                    best = self.free_slots(request, others, shut) or best
             else:
                 # hazard: thinned along with the crowded ones, cold ones would never take the load off them
                 cold = [s for s in self.servers.values() if s.pool is pool and self.warmth(s) < 1.0]
-                best = self.free_slots(request, cold)
+                best = self.free_slots(request, cold, shut)
             if best:
                 return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
-    def free_slots(self, request: Request, servers: list[Server]) -> list[tuple[Server, float]]:
+    def draw_try(self, request: Request) -> Server | None:
+        """Now and then a first attempt that may be repeated goes to a zone that was left."""
+        if request.attempts or request.kind.rules.effect != "idempotent" or self.zones.all_used:
+            return None
+        zone = self.zones.due_try(self.now_us)
+        if zone is None:
+            return None
+        return self.zones.random.choice([s for s in self.servers.values() if s.entry.zone == zone.number])
+
+    def worth_the_way(self, request: Request, pool: Pool) -> bool:
+        """Another region is of use only for what it can still answer in time, as far away as it has shown to be."""
+        return self.now_us + int(request.kind.mean_us * pool.pace) <= self.useful_until_us(request)
+
+    def free_slots(self, request: Request, servers: list[Server],
+                   shut: set[int]) -> list[tuple[Server, float]]:
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
         found = []
         for server in servers:
+            if server.entry.zone in shut:
+                continue
             slots = self.open_slots(server) - server.used
             if slots > 0 and self.in_group(request, server):
                 found.append((server, slots / server.pace ** 2))
@@ -460,6 +511,11 @@
             # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * request.kind.mean_us), request.kind.half_aim_us)
             self.wake(self.now_us + after_us, "copy", request.event.request)
+        if len(self.zones.zones) > 1 and request.whole:
+            self.wake(self.now_us + self.late_us(request), "late", request.event.request)
+
+    def late_us(self, request: Request) -> int:
+        return min(int(LATE_TIMES * request.kind.mean_us), request.kind.half_aim_us)
 
     def take_slot(self, attempt: Attempt) -> None:
         attempt.server.used += int(not attempt.holds_slot)
@@ -541,19 +597,63 @@
             self.list_failures = self.ask_list_us = 0
         if event.kind is not api.ListKind.DELTA:
             self.servers = {e.id: self.servers[e.id] for e in event.upstreams if e.id in self.servers}
+        started: set[int] = set()
         for entry in event.upstreams:
             if entry.state is not api.UpstreamState.READY:
                 self.servers.pop(entry.id, None)  # rule 3: forgotten the moment we are told
                 continue
-            away = self.settings.cross_zone_fee > 0 and entry.zone != self.settings.zone
-            server = self.servers.setdefault(entry.id, Server(entry, self.pools[int(away)]))
+            server = self.servers.setdefault(entry.id, Server(entry, self.pools[self.zones.tier(entry.zone)]))
             if server.entry is entry or server.entry.started_us != entry.started_us:
+                server.started_us = entry.started_us
+                if entry.started_us:
+                    started.add(entry.zone)
                 # hazard: all sidecars hear of it within moments, and their first sends would come in a burst
                 server.due, server.counted = self.random.random(), server.pool.served
             server.entry = entry
         for pool in self.pools:
             pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
             pool.weighed_us = -1
+        self.zones.listed(Counter(s.entry.zone for s in self.servers.values()), started, self.now_us)
+
+    # Zones: what their state, which glenkeel/zones.py owns, means for slots
+
+    def judge_zone(self, attempt: Attempt, outcome: api.Outcome, elapsed_us: int, pace: float) -> None:
+        number, upstream = attempt.entry.zone, attempt.entry.id
+        if outcome in (api.Outcome.OK, api.Outcome.CANCELLED):
+            self.zones.timed(attempt.late)
+        if outcome in (api.Outcome.OK, api.Outcome.FULL):
+            self.zones.answered(number, attempt.sent_us, 1.0 if outcome is api.Outcome.FULL else pace, self.now_us)
+        elif outcome is not api.Outcome.CANCELLED:
+            refused = outcome is api.Outcome.CONNECT_FAILED and 2 * elapsed_us < self.settings.connect_timeout_us
+            known = attempt.late and outcome is api.Outcome.TIMEOUT
+            self.zones.failed(number, upstream, attempt.sent_us, refused, known, pace, self.now_us)
+
+    def on_zone(self, zone: Zone, before: State) -> None:
+        self.actions.append(api.Log(f"zone {zone.number}: {before.value} -> {zone.state.value}: {zone.why}"))
+        if zone.state is State.LEFT:
+            self.zones_left.append(zone)
+        elif before is State.LEFT:
+            for server in self.servers.values():
+                if server.entry.zone == zone.number:
+                    server.window, server.pace, server.faults, server.rest_until_us = FIRST_SLOTS, 1.0, 0, 0
+                    if zone.refused and server.started_us < zone.left_us:
+                        # rule 4: what refuses connections has ended, and the list may say so later
+                        server.started_us = self.now_us
+                        server.due, server.counted = self.random.random(), server.pool.served
+
+    def leave_zone(self, zone: Zone) -> None:
+        """Its upstreams are open to nobody; what waits for them and may be repeated goes elsewhere at once."""
+        for server in [s for s in self.servers.values() if s.entry.zone == zone.number]:
+            if server in server.pool.in_use:
+                server.pool.in_use.remove(server)
+                self.actions.append(api.CloseIdle(server.entry.id))
+            # hazard: the time-outs of the lost would thin out what goes to the others
+            server.pool.admitted, server.pool.load = 1.0, 0.0
+        for request in list(self.requests.values()):
+            last = request.attempts[-1] if request.attempts else None
+            if last is not None and last.ended is None and last.entry.zone == zone.number and self.retries >= 1.0 \
+                    and request.kind.rules.effect == "idempotent":
+                self.send_copy(request)
 
     def backoff_us(self) -> int:
         """How long till discovery is called, or called again. Hazard: one service serves a few calls a second
@@ -594,5 +694,12 @@
                 self.ask_list()
             elif what == "copy" and ident in self.requests:
                 self.send_copy(self.requests[ident])
+            elif what == "late" and ident in self.requests:
+                request = self.requests[ident]
+                for attempt in request.attempts:
+                    if attempt.ended is None and not attempt.late and \
+                            self.now_us - attempt.sent_us >= self.late_us(request):
+                        attempt.late = True
+                        self.zones.overdue(attempt.entry.zone, attempt.entry.id, attempt.sent_us, self.now_us)
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -119,6 +119,7 @@
     cross_zone_fee: float = 0.0
     report_names: list[str] = field(default_factory=list)
     weighted: bool = False  # the list's weights speak of size
+    regions: list[int] = field(default_factory=list)  # of each zone; a zone that is not in it is in region 0
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
@@ -239,6 +240,14 @@
     tenants_before: list[int | None]
 
 
+@dataclass(slots=True)
+class ZoneOrdered:
+    """An operator wants a zone left, or returned to; evidence changes nothing of a zone left so."""
+
+    zone: int
+    leave: bool
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -251,7 +260,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestWhole | BodyPassed | RequestGone | AttemptEnded
-         | StreamStarted | ProbeEnded | SettingsChanged | TimerFired | PeerMessage)
+         | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | TimerFired | PeerMessage)
 
 
 # Actions
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -58,7 +59,7 @@
     sidecar.start()
     prepared(sidecar)
     if settings.admin is not None:
-        await Admin(operators_calls(server, lifecycle)).listen(settings.admin)
+        await Admin(operators_calls(sidecar)).listen(settings.admin)
     if inherited is not None:
         await take_over(discovery, stop)
     lifecycle.start()
@@ -102,21 +103,39 @@
         await asyncio.sleep(0.01)
 
 
-def operators_calls(server: Server, lifecycle: Lifecycle) -> dict[bytes, Route]:
+def operators_calls(sidecar: Sidecar) -> dict[bytes, Route]:
     """The calls at the admin address."""
-    def ready() -> tuple[bool, str]:
+    server, lifecycle = sidecar.server, sidecar.lifecycle
+
+    def ready(query: str) -> tuple[bool, str]:
         return server.ready, lifecycle.state.value if server.host.ready else "no upstream"
 
-    def drain() -> tuple[bool, str]:
+    def drain(query: str) -> tuple[bool, str]:
         lifecycle.drain()
         return True, lifecycle.state.value
 
-    def undrain() -> tuple[bool, str]:
+    def undrain(query: str) -> tuple[bool, str]:
         lifecycle.undrain()
         return True, lifecycle.state.value
 
+    def zones(query: str) -> tuple[bool, str]:
+        return True, json.dumps(server.host.zones(sidecar.settings.zones))
+
+    def order(leave: bool) -> Callable[[str], tuple[bool, str]]:
+        def call(query: str) -> tuple[bool, str]:
+            names = sidecar.settings.zones
+            name = query.removeprefix("zone=")
+            if name not in names:
+                return False, f"expected ?zone= and one of {', '.join(names)}, got {name!r}"
+            objection = server.host.order_zone(names.index(name), leave)
+            return not objection, f"zone {name} is not left: {objection}" if objection else \
+                f"zone {name} is {'left' if leave else 'returned to'} by an operator's order"
+
+        return call
+
     return {b"/_ready": Route(b"GET", ready), b"/_lameduck/on": Route(b"POST", drain),
-            b"/_lameduck/off": Route(b"POST", undrain)}
+            b"/_lameduck/off": Route(b"POST", undrain), b"/_zones": Route(b"GET", zones),
+            b"/_zone/leave": Route(b"POST", order(True)), b"/_zone/return": Route(b"POST", order(False))}
 
 
 class Sidecar:
--- a/plovertrail/admin.py
+++ b/plovertrail/admin.py
@@ -28,7 +28,7 @@
 @dataclass(slots=True)
 class Route:
     method: bytes
-    call: Callable[[], tuple[bool, str]]  # yes or no, and a word on it
+    call: Callable[[str], tuple[bool, str]]  # is told what stands behind the path's `?`; yes or no, and a word on it
 
 
 class Caller(asyncio.Protocol):
@@ -62,7 +62,8 @@
     def on_message_complete(self) -> None:
         if not self.whole:
             self.whole = True
-            self.answer(self.admin.reply(self.parser.get_method(), self.target.split(b"?")[0]))
+            path, _, query = self.target.partition(b"?")
+            self.answer(self.admin.reply(self.parser.get_method(), path, query.decode("latin-1")))
 
     def data_received(self, data: bytes) -> None:
         if self.answered:
@@ -108,13 +109,13 @@
                 oldest.transport.abort()
         self.callers[caller] = None
 
-    def reply(self, method: bytes, path: bytes) -> Reply:
+    def reply(self, method: bytes, path: bytes, query: str) -> Reply:
         route = self.routes.get(path)
         if route is None:
             return Reply(404, "unknown call")
         if method != route.method:
             return Reply(405, "not the method of this call", route.method)
-        yes, text = route.call()
+        yes, text = route.call(query)
         if method == b"POST":
             log.info("an operator called %s: %s", path.decode(), text)
         return Reply(200 if yes else 503, text)
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -96,14 +96,35 @@
 
 
 def load_again(path: str, before: Config) -> Config:
-    """The file that has taken the place of one in force; raises as `load`, on what is incomplete too."""
+    """The file that has taken the place of one in force; raises as `load`, on what is incomplete too.
+
+    A zone keeps its place, so that what is known and ordered of it stays its own."""
     after = load(path)
     key = missing(before.raw, after.raw)
     if key:
         raise ValueError(f"the key {key} is missing")
+    here, names = after.zones[after.settings.zone:after.settings.zone + 1], after.zones
+    regions = dict(zip(names, after.settings.regions, strict=False))
+    after.zones = before.zones + [name for name in names if name not in before.zones]
+    after.settings.zone = after.zones.index(here[0]) if here else after.settings.zone
+    after.settings.regions = [regions.get(name, 0) for name in after.zones] if regions else []
     return after
 
 
+def regions_of(zones: list[str], fleet: Any) -> list[int]:
+    """The region of each zone, as `fleet.regions` names them; none where it does not."""
+    named = fleet.get("regions") if isinstance(fleet, Mapping) else None
+    if named is None:
+        return []
+    if not isinstance(named, Mapping) or not all(isinstance(some, list) for some in named.values()):
+        raise ValueError("fleet.regions: expected lists of zones by region")
+    place = {zone: number for number, some in enumerate(named.values()) for zone in some}
+    lacking = [zone for zone in zones if zone not in place]
+    if lacking:
+        raise ValueError(f"fleet.regions: expected each zone in a region, {lacking[0]} is in none")
+    return [place[zone] for zone in zones]
+
+
 def load(path: str, admin: str | None = None) -> Config:
     """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed.
 
@@ -118,12 +139,14 @@
     positive(settings["bounds"]["most-tries"], "most-tries")
     pairs = flatten(settings)
     admin = admin or raw.get("admin")
+    values = wire.settings_from_pairs(pairs)
+    values.regions = regions_of(list(settings["areas"]), raw.get("fleet"))
     return Config(
         listen=parse_address(raw["listen"]),
         discovery=parse_address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
-        settings=wire.settings_from_pairs(pairs),
+        settings=values,
         zones=list(settings["areas"]),
         kinds=list(settings["kinds"]),
         idle_us=int(float(pairs["bounds.conn-idle"])),
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -225,6 +225,18 @@
                 self._forget(entry.id)
         self._tell(event)
 
+    def zones(self, names: list[str]) -> list[dict[str, object]]:
+        """What the module believes of each zone, and why."""
+        return [{"zone": names[z.number] if z.number < len(names) else str(z.number)} | z.told(clock_us())
+                for z in sorted(self.balancer.zones.zones.values(), key=lambda z: z.number)]
+
+    def order_zone(self, zone: int, leave: bool) -> str:
+        """An operator's order; why it is not followed, or ""."""
+        objection = self.balancer.zones.objection(zone) if leave else ""
+        if not objection:
+            self._tell(api.ZoneOrdered(zone, leave))
+        return objection
+
     @property
     def ready(self) -> bool:
         """Whether there is an upstream to send to."""
