--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -14,6 +14,7 @@
 from garnetusher.model import experiment as experiments
 from garnetusher.model import plan as plans
 from garnetusher.model import result
+from garnetusher.model.ablations import ABLATIONS, without
 from garnetusher.model.clock import Stall
 from garnetusher.model.experiment import Experiment
 from garnetusher.model.world import World
@@ -29,12 +30,14 @@
     """The same experiments in virtual time, with the real decisions."""
 
 
-def play(experiment: Experiment, seed: int) -> tuple[result.Result, float]:
-    """One play, and the seconds that it took here."""
+def play(experiment: Experiment, seed: int, off: list[str]) -> tuple[result.Result, float]:
+    """One play, without the parts that are off, and the seconds that it took here."""
     began = time.perf_counter()
     plan = plans.make(experiment, seed)
-    world = World(experiment, plan)
-    found, _ = result.judge(experiment, plan, world.run(), world.clock.events,
+    with without(off):
+        world = World(experiment, plan)
+        lines = world.run()
+    found, _ = result.judge(experiment, plan, lines, world.clock.events,
                             not_asked=sum(s.not_asked for s in world.sidecars.values()))
     found.digest = world.clock.digest
     return found, time.perf_counter() - began
@@ -53,6 +56,8 @@
         seed: Annotated[int | None, typer.Option(min=0, help="Of all random draws; else the file's.")] = None,
         seeds: Annotated[str | None, typer.Option(help="Several plays, A:B, spread over the cores.")] = None,
         sidecars: Annotated[int | None, typer.Option(min=1, help="So many, with all else in proportion.")] = None,
+        off: Annotated[list[str] | None, typer.Option(
+            "--without", help=f"A part of the decisions to do without: {', '.join(ABLATIONS)}.")] = None,
         json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
     """Play an experiment in virtual time; print its figures against their bounds."""
     try:
@@ -62,13 +67,16 @@
         cli.fail(str(error))
     except ValueError as error:
         cli.fail(f"--seeds: {error}")
+    unknown = [name for name in off or [] if name not in ABLATIONS]
+    if unknown:
+        cli.fail(f"--without {unknown[0]}: expected one of {', '.join(ABLATIONS)}")
     if sidecars is not None:
         experiment = experiments.scaled(experiment, sidecars)
     found = []
     try:
         with cli.progress(f"{experiment.name} in virtual time") as progress, \
                 ProcessPoolExecutor(min(len(numbers), os.cpu_count() or 1)) as pool:
-            for played in pool.map(play, [experiment] * len(numbers), numbers):
+            for played in pool.map(play, [experiment] * len(numbers), numbers, [off or []] * len(numbers)):
                 found.append(played)
                 progress("playing", len(found) / len(numbers))
     except Stall as error:
@@ -83,4 +91,7 @@
         for r, _ in found:
             cells = [f"{r.figures[name]:.4g}" if name in r.figures else "-" for name in COLUMNS]
             cli.say(f"| {r.seed} | {'yes' if r.held else 'no'} | {' | '.join(cells)} | {r.digest} |")
+        every = [[r.figures[name] for r, _ in found if name in r.figures] for name in COLUMNS]
+        means = [f"{sum(values) / len(values):.4g}" if values else "-" for values in every]
+        cli.say(f"| mean | | {' | '.join(means)} | |")
     raise typer.Exit(cli.HELD if all(r.held for r, _ in found) else cli.NOT_HELD)
--- a/glenkeel/zones.py
+++ b/glenkeel/zones.py
@@ -15,7 +15,7 @@
 LOST_PART = 0.75  # of a zone's upstreams have to fail in a row: half of them lost is no lost zone
 MOST_NEEDED = 8  # so many different ones tell it, however many there are: 0.75 ** 8 is one in ten
 EVIDENCE = 5.5  # the odds, as a power of ten, against so many misses in a row in a zone that is well
-DOUBT = 3.0  # and those for doubting it
+DOUBT = 4.0  # and those for doubting it
 STALE_US = 5_000_000  # between two misses, after which the first speaks of another time
 FAULT_ODDS = 1.5  # of one refused or broken attempt: one in thirty, as on days of broken connections
 LATE_PART = 0.05  # of the answers that are late in a zone that is well, at the least; the true part is learnt
@@ -28,7 +28,7 @@
 FLAP_MEMORY_US = 60_000_000  # a zone that held for so long starts again with the first wait
 TRIES_EACH_A_SECOND = 2.0  # tries at a left zone, by the whole fleet, for each of its upstreams
 SHORTEST_GAP_US = 250_000  # between this sidecar's tries
-STEPS = (0.1, 0.25, 0.5, 1.0)  # of the draws that may go to a returning zone
+STEPS: tuple[float, ...] = (0.1, 0.25, 0.5, 1.0)  # of the draws that may go to a returning zone
 STEP_US = 600_000  # that each of them lasts, at least
 RETURN_FAULTS = 2  # in a row, which take a return back
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -9,6 +9,7 @@
 import pytest
 
 from garnetusher.model import checker, experiment, figures, plan
+from garnetusher.model.ablations import without
 from garnetusher.model.world import World
 from glenkeel import interface as api
 from glenkeel.zones import State, Zone, Zones
@@ -168,6 +169,12 @@
     assert set(moves) == {"ezeiza", "quilmes"} and found["served_worth.zone.ezeiza"] > 0.6
 
 
+def test_a_part_that_is_switched_off_is_missed_and_comes_back() -> None:
+    with without(["leaving"]):
+        assert left("zone-silent")[0] == Counter()
+    assert left("zone-silent")[0]["pacheco"] >= 4
+
+
 # The operator's calls
 
 
