--- a/garnetusher/model/ablations.py
+++ b/garnetusher/model/ablations.py
@@ -16,7 +16,7 @@
 
 def _lateness() -> None:
     """An attempt that is out for long tells nothing until its time is out."""
-    Zones.overdue = lambda self, number, upstream, sent_us, now_us: None  # type: ignore[method-assign]
+    Zones.overdue = lambda self, number, upstream, sent_us, again, now_us: None  # type: ignore[method-assign]
 
 
 def _slowness() -> None:
--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -699,7 +699,9 @@
                 for attempt in request.attempts:
                     if attempt.ended is None and not attempt.late and \
                             self.now_us - attempt.sent_us >= self.late_us(request):
+                        again = any(other.late for other in request.attempts)
                         attempt.late = True
-                        self.zones.overdue(attempt.entry.zone, attempt.entry.id, attempt.sent_us, self.now_us)
+                        self.zones.overdue(attempt.entry.zone, attempt.entry.id, attempt.sent_us, again,
+                                           self.now_us)
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
--- a/glenkeel/zones.py
+++ b/glenkeel/zones.py
@@ -14,10 +14,12 @@
 
 LOST_PART = 0.75  # of a zone's upstreams have to fail in a row: half of them lost is no lost zone
 MOST_NEEDED = 8  # so many different ones tell it, however many there are: 0.75 ** 8 is one in ten
-EVIDENCE = 5.5  # the odds, as a power of ten, against so many misses in a row in a zone that is well
+EVIDENCE = 6.0  # the odds, as a power of ten, against so many misses in a row in a zone that is well
 DOUBT = 4.0  # and those for doubting it
+QUIET_US = 300_000  # without an answer, for a zone to be silent: a crowded one still answers some
 STALE_US = 5_000_000  # between two misses, after which the first speaks of another time
 FAULT_ODDS = 1.5  # of one refused or broken attempt: one in thirty, as on days of broken connections
+AGAIN_ODDS = 0.5  # of a miss at an upstream, or of a request, that has missed just now: one in three
 LATE_PART = 0.05  # of the answers that are late in a zone that is well, at the least; the true part is learnt
 LATE_MEMORY = 64  # answers that make it up
 SLOW_TIMES = 2.5  # the pace of a zone beside the quickest other one's, for SLOW_FOR_US
@@ -154,10 +156,12 @@
         else:
             self.compare(zone)
 
-    def overdue(self, number: int, upstream: int, sent_us: int, now_us: int) -> None:
-        """An attempt has been out for longer than answers take; it may still be answered."""
+    def overdue(self, number: int, upstream: int, sent_us: int, again: bool, now_us: int) -> None:
+        """An attempt has been out for longer than answers take; it may still be answered. With `again` it is not
+        the first of its request: what is heavy at one upstream is heavy at the next."""
         zone, self.now_us = self.of(number), now_us
-        self.missed(zone, upstream, sent_us, -math.log10(min(max(self.late_part, LATE_PART), 0.5)))
+        odds = AGAIN_ODDS if again else -math.log10(min(max(self.late_part, LATE_PART), 0.5))
+        self.missed(zone, upstream, sent_us, odds)
         self.compare(zone)
 
     def missed(self, zone: Zone, upstream: int, sent_us: int, odds: float) -> None:
@@ -166,6 +170,7 @@
             zone.forget()
         zone.missed_us = max(zone.missed_us, sent_us)
         zone.first_us = min(zone.first_us or sent_us, sent_us)
+        odds = min(odds, AGAIN_ODDS) if upstream in zone.suspects else odds
         zone.suspects.add(upstream)
         zone.misses += 1
         zone.evidence += odds
@@ -182,7 +187,9 @@
         heard = [z for z in others if z.answer_us > zone.first_us and not z.suspects]
         seen = f"{zone.misses} attempts at {len(zone.suspects)} of {zone.upstreams} upstreams failed in a row, " \
                f"{zone.refusals} refused; one in 10^{zone.evidence:.1f} by chance"
-        if len(zone.suspects) >= zone.needed() and zone.evidence >= EVIDENCE and heard:
+        # hazard: in a crowd many are late together, though not by chance; but answers go on coming
+        silent = 2 * zone.refusals >= zone.misses or self.now_us - zone.answer_us >= QUIET_US
+        if len(zone.suspects) >= zone.needed() and zone.evidence >= EVIDENCE and heard and silent:
             self.leave(zone, seen)
             return
         judged = [z for z in heard if z.seen >= MEMORY]
