--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -57,9 +57,9 @@
     raise typer.Exit(cli.HELD if found.held else cli.NOT_HELD)
 
 
-@app.command(epilog="Example: garnetusher lab compare experiments/calm.toml --tree . --tree ../before --pairs 5")
+@app.command(epilog="Example: garnetusher lab compare experiments/calm.toml --tree . --tree ../before --pairs 6")
 def compare(file: File, tree: Annotated[list[Path], typer.Option(help="Two of them: A, then B.")],
-            pairs: Annotated[int, typer.Option(min=1, help="Plays of each; 3 at least for an interval.")] = 5,
+            pairs: Annotated[int, typer.Option(min=1, help="Plays of each; under 6 no difference is shown.")] = 6,
             seed: Seed = None,
             out: Annotated[Path | None, typer.Option(help="A new folder for the results.")] = None,
             json: Json = False) -> None:
--- a/garnetusher/model/compare.py
+++ b/garnetusher/model/compare.py
@@ -11,7 +11,7 @@
 
 DRAWS = 10_000  # resamplings of the pairs
 SURE = 0.95  # of the interval
-FEWEST = 3  # pairs under which an interval says nothing
+FEWEST = 6  # pairs under which an interval says nothing: five differ the same way by chance once in sixteen times
 
 
 class Difference(Struct):
@@ -32,8 +32,9 @@
 
     def __str__(self) -> str:
         if not self.shown:
+            few = f", and fewer than {FEWEST} tell nothing" if self.pairs < FEWEST else ""
             return (f"{self.name}: no difference shown ({self.a:.4g} and {self.b:.4g}; between {self.low:+.4g} and "
-                    f"{self.high:+.4g} in {self.pairs} pairs)")
+                    f"{self.high:+.4g} in {self.pairs} pairs{few})")
         return (f"{self.name}: {self.a:.4g} and {self.b:.4g}, {self.mean:+.4g} (between {self.low:+.4g} and "
                 f"{self.high:+.4g} in {self.pairs} pairs)")
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -206,11 +206,12 @@
 
 
 def test_a_difference_is_shown_only_where_there_is_one() -> None:
-    same = compare.difference("x", [0.9, 0.92, 0.91, 0.9], [0.91, 0.9, 0.92, 0.9])
+    same = compare.difference("x", [0.9, 0.92, 0.91, 0.9, 0.9, 0.91], [0.91, 0.9, 0.92, 0.9, 0.9, 0.9])
     assert not same.shown and "no difference shown" in str(same)
-    better = compare.difference("x", [0.8, 0.82, 0.81], [0.9, 0.91, 0.93])
+    better = compare.difference("x", [0.8, 0.82, 0.81, 0.8, 0.82, 0.81], [0.9, 0.91, 0.93, 0.9, 0.9, 0.92])
     assert better.shown and better.low < better.mean < better.high and better.low > 0.05
-    assert not compare.difference("x", [0.8, 0.8], [0.9, 0.9]).shown  # two pairs tell nothing
+    few = compare.difference("x", [0.8] * 5, [0.9] * 5)
+    assert not few.shown and "fewer than 6 tell nothing" in str(few)  # one sign five times: chance, once in 16
     with pytest.raises(ValueError, match="as many plays"):
         compare.difference("x", [1.0], [])
 
