Take out what nothing calls: the load that a plan offers, and a listener's flag

Need: dead code, found on a last reading. `plan.work_offered` had no caller, `Listener.refused` was written and never read. Change: both are gone. Left as it is: `model/world.py` tells attempts' ends in the host's words, as it stands for the host; the records' shapes are alike because they are records.

--- a/garnetusher/lab/linked.py
+++ b/garnetusher/lab/linked.py
@@ -152,7 +152,6 @@
         self._socket: socket.socket | None = None
         self._fillers: list[socket.socket] = []
         self._tasks: set[asyncio.Task[object]] = set()
-        self.refused = False
 
     def open(self) -> None:
         """Listen, at a port of the kernel's choice the first time and at the same one ever after."""
@@ -163,7 +162,6 @@
         sock.listen(BACKLOG)
         self.port = sock.getsockname()[1]
         self._socket = sock
-        self.refused = False
         if self._cut:
             self._fill()
         else:
@@ -171,7 +169,6 @@
 
     def refuse(self) -> None:
         """From now on connecting is refused; open connections are for the caller to break."""
-        self.refused = True
         self._let_fillers_go()
         if self._socket is not None:
             self.clock.loop.remove_reader(self._socket.fileno())
--- a/garnetusher/model/plan.py
+++ b/garnetusher/model/plan.py
@@ -315,13 +315,6 @@
     return [names[i:i + size] for i in range(0, len(names), size)]
 
 
-def work_offered(experiment: Experiment) -> float:
-    """The part of the upstreams' capacity that the load takes, before any fault."""
-    cores = experiment.upstreams.cores * sum(experiment.upstreams.per_zone.values())
-    mean_ms = sum(c.share * c.work_ms for c in experiment.classes)
-    return experiment.load.requests_per_s * mean_ms / 1000 / cores
-
-
 def arrivals(experiment: Experiment, plan: Plan, sidecar: SidecarPlan) -> Iterator[tuple[int, int, int]]:
     """When a sidecar's clients ask: (microseconds, class, tenant) in order; a Poisson stream, thinned to its bursts.
 
