--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -22,6 +22,7 @@
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.85  # of the slow time, where slots settle: more chokes crowded upstreams, less refuses early
+ROOM = FULL_LOAD / 2  # of the slow time, under which a tier has room: its excess opens slots there, not far away
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 COLD_PART = 0.45  # of the multiple that pushes a cold upstream over: its work comes in lumps
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
@@ -61,6 +62,7 @@
         self.all_cold = False  # none of them sets the pace
         self.arrival_us = now_us  # of the last request
         self.pace = 1.0  # of its answers, smoothed: far away they take longer
+        self.short_us = 0  # when a request last found no free slot here
 
 
 class Server:
@@ -144,7 +146,7 @@
         self.zones = Zones(settings, seed, now_us, self.on_zone)
         self.zones_left: list[Zone] = []  # in this event
         self.retries = MOST_RETRIES  # reissues in hand
-        self.short_us = 0  # when a request last found no free slot
+        self.short_us = 0  # when a request last found no free slot anywhere
         self.allowed_per_s = max(1.0, sum(party.allowance_per_s for party in self.parties))
         self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
@@ -241,6 +243,8 @@
             pool.served += self.opened_by_arrival(pool)
             pool.arrival_us = self.now_us
         server = self.draw(request)
+        for pool in self.pools[:self.pools.index(server.pool)] if server is not None else self.pools:
+            pool.short_us = self.now_us
         if server is not None:
             self.send(request, server)
             return
@@ -362,7 +366,9 @@
             # hazard: after an outage all would rest for long, so slow answers leave the one slot
             server.window = max(server.window * (1.0 + step), min(server.window, 1.0))
         # hazard: slots opened without need (none for two aims), by many sidecars above all, choke bursts
-        elif server.window < 1.0 or attempt.sent_us <= self.short_us + 4 * slow_us:
+        # hazard: an excess that finds slots farther away leaves no request without, and near slots would only close
+        elif server.window < 1.0 or attempt.sent_us - 4 * slow_us <= (
+                max(pool.short_us, self.short_us) if pool.load < ROOM else self.short_us):
             server.window += min(server.window, step)
         server.window = min(max(server.window, SMALLEST_WINDOW), float(MOST_SLOTS))
         if server.window < 1.0:
@@ -424,8 +430,10 @@
         return self.draw_slot(request, shut)
 
     def draw_slot(self, request: Request, shut: set[int]) -> Server | None:
+        nearest = self.pools.index(request.attempts[-1].server.pool) if request.out() else TIERS
         for number, pool in enumerate(self.pools):
-            if number == TIERS - 1 and not self.worth_the_way(request, pool):
+            if number > nearest and self.stays(request) or \
+                    number == TIERS - 1 and not self.worth_the_way(request, pool):
                 continue
             if request.event.retried and not request.attempts and pool.admitted < RETRY_ADMITTED:
                 continue  # hazard: its client has waited before; late, it would take the place of one in time
@@ -443,6 +451,12 @@
                 return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
+    def stays(self, request: Request) -> bool:
+        """A copy goes no farther away than the attempt that it is a copy of, unless something may be wrong with that
+        one's zone. Hazard: the first sends use up a near tier's credit, and all copies would cross."""
+        zone = self.zones.of(request.attempts[-1].entry.zone)
+        return zone.state is State.NEAR and not zone.suspects
+
     def draw_try(self, request: Request) -> Server | None:
         """Now and then a first attempt that may be repeated goes to a zone that was left."""
         if request.attempts or request.kind.rules.effect != "idempotent" or self.zones.all_used:
