--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -16,7 +16,8 @@
 from tests.experiment import ROOT
 from tests.net import OK, Upstream, answering, request, sidecar
 from tests.test_sidecar import run
-from tests.world import settings
+from tests.world import World as Stand
+from tests.world import settings, upstreams
 
 SECOND = 1_000_000
 
@@ -164,6 +165,25 @@
     assert left(name)[0] == Counter()
 
 
+def test_traffic_stays_in_a_near_zone_that_has_room() -> None:
+    assert left("calm")[1]["crossings"] < 0.03  # 0.32 where near slots open only if no slot is free anywhere
+
+
+def test_a_copy_stays_in_its_tier_until_something_may_be_wrong_there() -> None:
+    for suspect in (False, True):
+        stand = Stand(settings(cross_zone_fee=0.02, cancel=False))
+        stand.tell_list(upstreams(4))  # two here, two in the next zone
+        balancer = stand.balancer
+        for server in balancer.pools[0].in_use or [balancer.servers[100], balancer.servers[101]]:
+            server.window = 1.0
+        first, second = stand.arrive(0), stand.arrive(0)  # all slots here are taken
+        if suspect:
+            balancer.zones.failed(0, 101, stand.now_us, False, False, 1.0, stand.now_us)
+        stand.advance(150_000)
+        crossed = [send for ident in (first, second) for send in stand.sends(ident)[1:]]
+        assert bool(crossed) == suspect and all(send.upstream in (102, 103) for send in crossed)
+
+
 def test_a_region_that_is_lost_is_left_and_its_sidecars_are_served_from_afar() -> None:
     moves, found = left("region-lost")
     assert set(moves) == {"ezeiza", "quilmes"} and found["served_worth.zone.ezeiza"] > 0.6
@@ -194,9 +214,6 @@
 
 
 def test_a_module_told_to_leave_a_zone_sends_it_nothing() -> None:
-    from tests.world import World as Stand
-    from tests.world import upstreams
-
     stand = Stand(settings(cross_zone_fee=0.02))
     stand.tell_list(upstreams(6))
     stand.tell(api.ZoneOrdered(0, True))
