Drop wake-ups of answered requests before a timer is armed for them

Need: judging zones had cost the sidecars a sixth more CPU, most of it one more timer for each send, though nearly all requests are answered before their timers are due. Change: what heads the queue of wake-ups and belongs to no open request goes before the next timer is armed. The queue's entries themselves stay: taking them out of the middle of a heap costs more than they do.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -694,6 +694,8 @@
         heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident))
 
     def arm(self) -> None:
+        while self.wakeups and self.wakeups[0][1] != "list" and self.wakeups[0][2] not in self.requests:
+            heapq.heappop(self.wakeups)  # most are answered before; each timer for nothing costs as much as a request
         times = [self.wakeups[0][0]] if self.wakeups else []
         if self.buffer is not None:  # a resting slot opens by time, not by an event
             times.extend([s.rest_until_us for s in self.servers.values() if s.rest_until_us > self.now_us])
