Date what sidecars believe of zones; figures for leaving, false leaves, returning to 0.98 and dips

Change: the lab reads each sidecar's log as it grows (50 ms) and virtual time its Log actions; both write a 'believed' record, from which model/beliefs.py makes zone_leave_s (median, .home over the lost zone's own sidecars), zones_left, zone_return_s, zone_state_s.*, false_leaves; figures.py adds back_to_098_s and second_dip. Option not taken: asking each admin address 20 times a second, which would load what is measured.

--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -22,7 +22,8 @@
 app = typer.Typer(no_args_is_help=True, help="The same experiments in virtual time, with the real decisions.")
 
 COLUMNS = ("served_worth.whole", "served_worth.during_fault", "served_worth.after", "crossings", "refused",
-           "attempts_per_request", "rules_broken")
+           "attempts_per_request", "zone_leave_s", "zone_leave_s.home", "zones_left", "zone_return_s",
+           "back_to_098_s", "second_dip", "false_leaves", "rules_broken")
 
 
 @app.callback()
--- a/garnetusher/lab/sidecars.py
+++ b/garnetusher/lab/sidecars.py
@@ -22,13 +22,14 @@
 from garnetusher.lab.clients import is_up
 from garnetusher.lab.directory import entry
 from garnetusher.logs import logger
-from garnetusher.model import draw
+from garnetusher.model import beliefs, draw
 from garnetusher.model.experiment import Experiment
 from garnetusher.model.plan import Plan, SidecarPlan, Step
-from garnetusher.model.records import Process
+from garnetusher.model.records import Believed, Process
 
 READY_S = 30.0  # for a sidecar to say yes, as the platform waits
 KILL_AFTER_S = 3.7  # SIGKILL follows SIGTERM so much later at the soonest
+LOOK_S = 0.05  # between looks at what the sidecars have logged
 LAST_LINES = 8  # of a log, shown when its process has died
 _SET_PDEATHSIG = 1  # prctl's number for it
 
@@ -107,6 +108,7 @@
         self.starts = 0
         self.expected = False  # its end is the lab's doing
         self.log_path = fleet.out / "logs" / f"{plan.name}.log"
+        self.log_read = 0  # bytes of it
 
     async def spawn(self, at_us: int) -> None:
         fleet, name = self.fleet, self.plan.name
@@ -142,12 +144,23 @@
         return self.log_path.read_text(errors="replace").splitlines()[-LAST_LINES:] if self.log_path.exists() else []
 
 
+    def news(self) -> list[str]:
+        """The whole lines that it has logged since the last call."""
+        if not self.log_path.exists() or self.log_path.stat().st_size <= self.log_read:
+            return []
+        with self.log_path.open("rb") as file:
+            file.seek(self.log_read)
+            whole, newline, _ = file.read().rpartition(b"\n")
+        self.log_read += len(whole) + len(newline)
+        return whole.decode(errors="replace").splitlines()
+
+
 class Fleet:
     """All sidecars of a play."""
 
     def __init__(self, experiment: Experiment, plan: Plan, tree: Path, out: Path, cores: list[int],
                  endpoints: dict[str, dict[str, str]], lists: dict[str, str], hosts: dict[str, str],
-                 record: Callable[[Process], None], now_us: Callable[[], int]) -> None:
+                 record: Callable[[Process | Believed], None], now_us: Callable[[], int]) -> None:
         self.experiment, self.plan, self.tree, self.out, self.cores = experiment, plan, tree, out, cores
         self.endpoints = endpoints
         self.command = str(deploy_file(tree)["run"])
@@ -218,6 +231,17 @@
         for sidecar in self.sidecars.values():
             for step in sidecar.plan.steps:
                 self.keep(self._carry_out(sidecar, step))
+        self.keep(self._follow())
+
+    async def _follow(self) -> None:
+        """Write down what the sidecars log of zones, dated as it is read: their lines carry no time."""
+        while True:
+            for name, sidecar in self.sidecars.items():
+                for line in sidecar.news():
+                    told = beliefs.belief(self.now_us(), name, line, self.experiment.topology.zones)
+                    if told is not None:
+                        self._record(told)
+            await asyncio.sleep(LOOK_S)
 
     async def _carry_out(self, sidecar: Sidecar, step: Step) -> None:
         await asyncio.sleep(max(0.0, (step.at_us - self.now_us()) / 1e6))
--- a/garnetusher/model/figures.py
+++ b/garnetusher/model/figures.py
@@ -15,6 +15,7 @@
 from hdrh.log import HistogramLogWriter
 from msgspec import Struct
 
+from garnetusher.model import beliefs
 from garnetusher.model.experiment import Experiment
 from garnetusher.model.plan import Plan, Span
 from garnetusher.model.records import Answered, AnyRecord, Asked, Attempt, Ended, Listed, Unreached, Usage, Vanished
@@ -22,6 +23,8 @@
 SHARE_WINDOW_US = 5_000_000  # over which a tenant's rate is judged
 BIN_US = 250_000  # for what is told over time
 NORMAL_WITHIN = 0.05  # of the worth before the fault
+NEARLY = 0.98  # of the worth before the fault, as `back_to_098_s` has it
+DIP_BINS = 8  # 2 s: over which `second_dip` is judged; half of the dips of shorter stretches are chance
 NORMAL_FOR_BINS = 6  # so long it has to hold: 1.5 s
 LEFT_BELOW = 0.1  # of the attempts that went there before
 HIGHEST_US = 60_000_000  # a histogram's range
@@ -118,6 +121,7 @@
     out |= _traffic(plan, records, len(requests), zone_of)
     out |= _times(experiment, plan, records, requests, aims)
     out |= _usage(records)
+    out |= beliefs.figures(experiment, plan, records)
     return {name: round(value, 5) for name, value in out.items()}
 
 
@@ -162,6 +166,10 @@
         back = _back_to(asked, served, usual - NORMAL_WITHIN, int(last // BIN_US))
         if back is not None:
             out["back_to_normal_s"] = max(0.0, back * BIN_US - last) / 1e6
+        near = _back_to(asked, served, NEARLY * usual, int(last // BIN_US))
+        if near is not None and last == faulty[1]:
+            out["back_to_098_s"] = max(0.0, near * BIN_US - last) / 1e6
+            out["second_dip"] = max(0.0, usual - _lowest(asked, served, near))
     left = [x for span in plan.spans if (x := _leave_s(plan, span, records)) is not None]
     if left:
         out["leave_s"] = max(left)
@@ -191,6 +199,12 @@
     return None
 
 
+def _lowest(asked: np.ndarray, served: np.ndarray, begin: int) -> float:
+    """The least that a stretch from `begin` on is served; in calm, too, chance takes it under the mean."""
+    return float(min(served[place:place + DIP_BINS].sum() / max(1e-9, asked[place:place + DIP_BINS].sum())
+                     for place in range(begin, len(asked) - DIP_BINS)))
+
+
 def _leave_s(plan: Plan, span: Span, records: list[AnyRecord]) -> float | None:
     """From the fault's start until its upstreams see no more than a tenth of the attempts that they saw before, for
     as long as the fault lasts. Connections that never come up leave no trace and are not in it."""
--- a/garnetusher/model/records.py
+++ b/garnetusher/model/records.py
@@ -173,6 +173,16 @@
     pid: int = 0
 
 
+class Believed(Record, tag="believed"):
+    """A sidecar's log has told that it changed its mind on a zone. In the lab `t` is when its line was read."""
+
+    sidecar: str
+    zone: str
+    before: str  # near, doubted, left, returning
+    state: str
+    why: str
+
+
 class Late(Record, tag="late"):
     """The lab carried out something of its own late; one line a second at most."""
 
@@ -189,7 +199,7 @@
 
 
 AnyRecord = (Asked | Answered | Broke | Crossed | GaveUp | Quit | Extra | Unreached | Vanished | Silent | Attempt
-             | Ended | Held | Machine | Told | Listed | Process | Late | Usage)
+             | Ended | Held | Machine | Told | Listed | Process | Believed | Late | Usage)
 
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(AnyRecord)
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -12,7 +12,7 @@
 
 from msgspec import structs
 
-from garnetusher.model import draw
+from garnetusher.model import beliefs, draw
 from garnetusher.model.client import WAIT_ON_US, Client
 from garnetusher.model.clock import Clock
 from garnetusher.model.experiment import Experiment
@@ -388,6 +388,10 @@
             self.answer(action.request, 503, "", action.retry_after_us)
         elif isinstance(action, api.Fail):
             self.answer(action.request, 500, "", 0)
+        elif isinstance(action, api.Log):
+            told = beliefs.belief(self.world.clock.now_us, self.name, action.text, self.world.experiment.topology.zones)
+            if told is not None:
+                self.world.write(told)
         elif isinstance(action, api.SetTimer):
             self.world.clock.at(action.at_us - EPOCH_US + 1, self.fire, action.token, self.life)
         elif isinstance(action, api.Cancel) and action.request in self.open:
