--- a/garnetusher/model/beliefs.py
+++ b/garnetusher/model/beliefs.py
@@ -31,9 +31,13 @@
 
 
 def figures(experiment: Experiment, plan: Plan, records: Iterable[AnyRecord]) -> dict[str, float]:
-    """`zone_leave_s` (median), `zone_leave_s_most` and `zone_return_s` over the sidecars that did, with `.home` over
-    those of the zone itself, as the others hardly use it; `zones_left`, the part of them that left it; `false_leaves`, how often one that had no fault was left; and
-    `zone_state_s.STATE`, the mean time a sidecar held a zone for that."""
+    """The figures of one play, those left out that had no occasion.
+
+    `zone_leave_s` (median), `zone_leave_s_most` and `zone_return_s` are over the sidecars that left a faulty zone, with
+    `.home` over the zone's own, as the others hardly use it; `zones_left` is the part of those that left it.
+    `false_leaves` counts leaves of zones without a fault, `zone_state_s.STATE` is the mean time a sidecar held a zone
+    for that.
+    """
     told = [r for r in records if isinstance(r, Believed)]
     out = {"false_leaves": float(sum(r.state == "left" and not _excused(plan, r) for r in told))}
     out |= _time_in(experiment, plan, told)
