Count cold cohorts every 10 ms, sixty-four of them to a warm-up

Change: 64 cohorts; parts and the whole are counted again after 10 ms or a change of the list, not at each draw.

--- a/glenkeel/slots.py
+++ b/glenkeel/slots.py
@@ -18,7 +18,8 @@
 
 FIRST_SLOTS = 3.0  # a busy sidecar would fill one each in its first moment, and refuse till more open
 COLD_PART = 0.45  # of the multiple that pushes a cold upstream over: its work comes in lumps
-COHORTS = 32  # in the time of a warm-up: what starts within one counts as started at its end
+COHORTS = 64  # in the time of a warm-up: what starts within one counts as started at its end
+COUNT_US = 10_000  # between counts of what is warm: in a warm-up of seconds a part moves by under one in a hundred
 WARMED_AT_ONCE = 256  # upstreams that an event takes for warm at the most, so that none is held up
 
 
@@ -83,6 +84,8 @@
         self.pace = 1.0  # of its answers, smoothed: far away they take longer
         self.short_us = 0  # when a request last found no free slot here
         self.size = 0
+        self.whole = 1.0  # each by its part, as counted last
+        self.count_us = 0  # when to count them again
         self.zones: dict[int, dict[int, Server]] = {}  # its upstreams, by zone
         self.in_use: dict[int, Server] = {}  # those whose slots are open
         self.cohorts: dict[int, Cohort] = {}  # the cold ones, by the start that they are counted from
@@ -92,12 +95,12 @@
     # Who is there
 
     def add(self, server: Server, now_us: int, due: float) -> None:
-        self.size += 1
+        self.size, self.count_us = self.size + 1, 0
         self.zones.setdefault(server.entry.zone, {})[server.entry.id] = server
         self.start(server, now_us, due)
 
     def drop(self, server: Server) -> None:
-        self.size -= 1
+        self.size, self.count_us = self.size - 1, 0
         server.listed = False
         self.use(server, 0, False)
         self.warm(server)
@@ -122,6 +125,7 @@
     def start(self, server: Server, now_us: int, due: float) -> None:
         """It is new, or has started anew. Of the first send to it `due` has come due, from 0 to 1."""
         self.warm(server)
+        self.count_us = 0
         if server.started_us > 0 and now_us - server.started_us < self.settings.warm_up_us:
             if self.served > self.counted:
                 self.grow(now_us)  # what was served before it came is not for it
@@ -144,12 +148,6 @@
         """Whether none of them sets the pace."""
         return 0 < self.size == sum(len(cohort.members) for cohort in self.cohorts.values())
 
-    def warmth(self, cohort: Cohort, now_us: int) -> float:
-        """Rule 4: the share of their capacity that its members surely have."""
-        s = self.settings
-        age_us = max(0, now_us - cohort.started_us)
-        return min(1.0, s.cold_share + (1.0 - s.cold_share) * age_us / max(1, s.warm_up_us))
-
     def grow(self, now_us: int) -> None:
         """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool; and the fleet
         serves no more than it can, however much is asked of it. Hazard: a cold one's warmth is the least it can have,
@@ -158,21 +156,28 @@
         served, self.counted = self.served - self.counted, self.served
         if not self.cohorts:
             return
-        whole = float(self.size)
-        warmed = []
-        for cohort in self.cohorts.values():
-            warmth = self.warmth(cohort, now_us)
-            if now_us - cohort.started_us >= self.settings.warm_up_us:
-                warmed.append(cohort)
-            cohort.part = 1.0 if warmth >= 1.0 else warmth * COLD_PART * self.settings.overload_factor
-            whole += (cohort.part - 1.0) * len(cohort.members)
+        if now_us >= self.count_us:
+            self.count(now_us)
+        each = served / self.whole
         for cohort in self.cohorts.values():
-            cohort.growth += cohort.part * served / whole
+            cohort.growth += cohort.part * each
             while cohort.waiting and cohort.waiting[0][0] <= cohort.growth:
                 at, _, server = heapq.heappop(cohort.waiting)
                 if server.cohort is cohort and not server.due and server.due_at == at:
                     server.due = True
                     self.weigh(server, now_us)
+
+    def count(self, now_us: int) -> None:
+        """The parts of now, for a little while; and what is warm by now is no cold one any more."""
+        s, self.whole, self.count_us = self.settings, float(self.size), now_us + COUNT_US
+        rate, times = (1.0 - s.cold_share) / max(1, s.warm_up_us), COLD_PART * s.overload_factor
+        warmed = []
+        for cohort in self.cohorts.values():
+            age_us = max(0, now_us - cohort.started_us)
+            if age_us >= s.warm_up_us:
+                warmed.append(cohort)
+            cohort.part = 1.0 if age_us >= s.warm_up_us else times * (s.cold_share + rate * age_us)
+            self.whole += (cohort.part - 1.0) * len(cohort.members)
         for cohort in warmed:
             for server in list(islice(cohort.members.values(), WARMED_AT_ONCE)):
                 self.warm(server)
