Let a copy leave a tier that answers slowly

The zone stays near, as its slow answers do come. Change: a copy may cross as well while the tier's answers take over the full load's time on the mean.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -407,9 +407,11 @@
 
     def stays(self, request: Request) -> bool:
         """A copy goes no farther away than the attempt that it is a copy of, unless something may be wrong with that
-        one's zone. Hazard: the first sends use up a near tier's credit, and all copies would cross."""
-        zone = self.zones.of(request.attempts[-1].entry.zone)
-        return zone.state is State.NEAR and not zone.suspects
+        one's zone, or its tier is slow. Hazard: the first sends use up a near tier's credit, and all copies would
+        cross."""
+        last = request.attempts[-1]
+        zone = self.zones.of(last.entry.zone)
+        return zone.state is State.NEAR and not zone.suspects and last.server.pool.load < FULL_LOAD
 
     def draw_try(self, request: Request) -> Server | None:
         """Now and then a first attempt that may be repeated goes to a zone that was left."""
