Explore schedules of events against the module; shrink and keep what breaks a rule

Need: faults of the decisions hide in orders of events that plays seldom meet; the random tests had no shrinking across settings, no replay file and no check of slots. Change: garnetusher model explore and replay. model/explore/ draws, plays and shrinks (delta debugging) for any part that brings four methods; module.py is the first. The host that checks the contract moved from the tests to model/contract.py and now also audits slots, timers at one instant, bodies still to come and a process that is held. Option not taken: hypothesis for the search itself: its schedules can't be numbered, so twenty thousand of them can't be spread over processes and told again from a seed; its stateful machines stay in the tests.

--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -8,11 +8,14 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
 from garnetusher import cli, config
 from garnetusher.cli import cost as costs
+from garnetusher.cli import explore as explorer
 from garnetusher.model import experiment as experiments
+from garnetusher.model import explore as exploring
 from garnetusher.model import plan as plans
 from garnetusher.model import result
 from garnetusher.model.ablations import ABLATIONS, without
@@ -113,3 +116,44 @@
         cli.say_json(found)
     else:
         cli.say(costs.table(found))
+
+
+@app.command(epilog="Example: garnetusher model explore module --seeds 1:20000")
+def explore(part: Annotated[str, typer.Argument(help=f"What to explore: {', '.join(explorer.PARTS)}.")],
+            seeds: Annotated[str, typer.Option(help="A schedule each, A:B.")] = "1:2000",
+            steps: Annotated[int, typer.Option(min=4, help="In a schedule, at the most.")] = 120,
+            out: Annotated[Path, typer.Option(help="Where what breaks is kept.")] = Path("found"),
+            json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+            ) -> None:
+    """Play seeded schedules of events against a core; shrink and keep those that break a rule."""
+    if part not in explorer.PARTS:
+        cli.fail(f"{part}: expected one of {', '.join(explorer.PARTS)}")
+    try:
+        numbers = span(seeds)
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    with cli.progress(f"exploring {part}") as progress:
+        for found in explorer.search(part, numbers, steps):
+            progress(f"{len(found.finds)} found", found.schedules / len(numbers))
+    paths = explorer.keep(found, out)
+    if json:
+        cli.say_json(found)
+    else:
+        cli.say("\n".join([*found.lines, *(f"kept: {path}" for path in paths)]))
+    raise typer.Exit(cli.NOT_HELD if found.finds else cli.HELD)
+
+
+@app.command(epilog="Example: garnetusher model replay found/module-slots-17.json")
+def replay(file: Annotated[Path, typer.Argument(help="What `model explore` has kept.")]) -> None:
+    """Play a schedule that broke a rule once more; tell it step by step."""
+    try:
+        find = exploring.kept(file)
+    except (OSError, msgspec.MsgspecError) as error:
+        cli.fail(f"{file}: expected a schedule that `model explore` has kept: {error}")
+    if find.schedule.part not in explorer.PARTS:
+        cli.fail(f"{file}: part: expected one of {', '.join(explorer.PARTS)}, got {find.schedule.part!r}")
+    part = explorer.PARTS[find.schedule.part]
+    broken = part.play(find.schedule)
+    cli.say("\n".join(part.tell(find.schedule)))
+    cli.say(f"broke {broken.text}" if broken is not None else f"holds now; it broke {find.broken.text}")
+    raise typer.Exit(cli.HELD if broken is None else cli.NOT_HELD)
--- /dev/null
+++ b/garnetusher/model/explore/module.py
@@ -0,0 +1,219 @@
+"""The decision module under any order of legal events: rules, slots, timers, and one answer for each request.
+
+The host is garnetusher/model/contract.py. A schedule's numbers point into what is there when it is played (the third
+attempt that is out, the fifth upstream), so that it still means something with some of its steps gone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+from garnetusher.model.contract import Breach, Host
+from garnetusher.model.explore import Broken, Schedule, Step
+from glenkeel import interface as api
+
+CLASSES = [
+    api.RequestClass("read", 300_000, 1_500_000, effect="idempotent", late_worth=0.3),
+    api.RequestClass("pay", 300_000, 600_000, worth=5, effect="at_most_once"),
+    api.RequestClass("mark", 400_000, 2_000_000, worth=3, effect="deduplicated", group="cell", memory_us=1_200_000),
+    api.RequestClass("zoned", 200_000, 900_000, effect="deduplicated", group="zone", memory_us=400_000),
+    api.RequestClass("feed", 200_000, 900_000, effect="deduplicated", memory_us=9_000_000, stream=True),
+]
+OUTCOMES = [o for o in api.Outcome if o is not api.Outcome.TIMEOUT]
+STATES = list(api.UpstreamState)
+WARM_UP_US = 20_000_000
+LAST_US = 6_000_000  # after the last step: longer than any request may wait
+# how a schedule's steps are mixed: one temper a seed, so that some are all storm and some are quiet
+TEMPERS: list[dict[str, int]] = [
+    {"arrive": 50, "end": 40, "advance": 10, "list": 2, "restart": 1, "quit": 1, "stream": 1},
+    {"arrive": 40, "end": 10, "advance": 30, "sleep": 5, "quit": 5},  # silence, and a process that is starved
+    {"arrive": 20, "end": 20, "advance": 5, "list": 20, "restart": 10, "full": 5, "fail": 5, "cached": 2},
+    {"arrive": 60, "fault": 40, "advance": 10, "restart": 2},  # all fails
+    {"arrive": 30, "end": 25, "advance": 15, "order": 5, "retune": 5, "whole": 8, "passed": 4, "list": 2},
+    {"arrive": 30, "end": 25, "advance": 20, "sleep": 3, "stream": 10, "quit": 5, "fault": 10},
+]
+BAD = [api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.RESET]
+
+
+class Module:
+    """`Part` for `glenkeel.Balancer`."""
+
+    name = "module"
+
+    def draw(self, seed: int, steps: int) -> Schedule:
+        rng = random.Random(seed)
+        setup = {"upstreams": rng.choice([1, 2, 4, 8, 20]), "zones": rng.choice([1, 2, 3]),
+                 "instances": rng.choice([1, 3, 40]), "max_attempts": rng.randint(1, 5),
+                 "second_copies": rng.randrange(2), "cancel": rng.randrange(2), "on_request": rng.randrange(2),
+                 "fee": rng.randrange(2), "regions": rng.randrange(2), "cold": rng.randrange(2)}
+        temper = rng.choice(TEMPERS)
+        names = rng.choices(list(temper), list(temper.values()), k=rng.randint(steps // 4, steps))
+        return Schedule(self.name, seed, setup, [self._step(rng, name) for name in names])
+
+    def _step(self, rng: random.Random, what: str) -> Step:
+        a, b = rng.randrange(1000), 0
+        if what == "arrive":
+            a, b = rng.randrange(len(CLASSES)), rng.choice([0, rng.randrange(1, 2_000_000), rng.randrange(1, 5_000)])
+        elif what in ("end", "fault"):
+            b = rng.randrange(1000)
+        elif what in ("advance", "sleep"):
+            a = rng.choice([0, rng.randrange(2_000), rng.randrange(100_000), rng.randrange(2_000_000)])
+        elif what == "list":
+            b = rng.randrange(len(STATES))
+        elif what == "restart":
+            b = rng.randrange(WARM_UP_US * 3 // 2)
+        elif what == "order":
+            b = rng.randrange(2)
+        return Step(what, a, b)
+
+    def simpler(self, setup: dict[str, int]) -> Iterator[dict[str, int]]:
+        for name, value in setup.items():
+            least = 1 if name in ("upstreams", "zones", "instances", "max_attempts") else 0
+            for other in (least, value // 2):
+                if least <= other < value:
+                    yield setup | {name: other}
+
+    def play(self, schedule: Schedule) -> Broken | None:
+        run, done = _Run(schedule.setup, schedule.seed), 0
+        try:
+            run.begin()
+            for step in schedule.steps:
+                run.step(step)
+                run.host.audit()
+                done += 1
+            run.host.advance(LAST_US)
+            run.host.audit()
+        except Breach as breach:
+            return Broken(breach.rule, str(breach), done)
+        except Exception as error:  # whatever it raises: the process would be gone
+            return Broken(f"crash: {type(error).__name__}", repr(error), done)
+        return None
+
+    def tell(self, schedule: Schedule) -> list[str]:
+        """What was told to the module and what it did, until something broke."""
+        run = _Run(schedule.setup, schedule.seed)
+        lines = [", ".join(f"{name} {value}" for name, value in schedule.setup.items())]
+        try:
+            run.begin()
+            for step in [*schedule.steps, Step("advance", LAST_US)]:
+                said, at_us = len(run.host.log), run.host.now_us
+                lines.append(f"{at_us / 1e6:.6f} s  {step.what} {step.a} {step.b}")
+                try:
+                    run.step(step)
+                finally:
+                    lines += [f"    {action}" for action in run.host.log[said:]]
+                run.host.audit()
+        except Exception as error:  # the breach, or the crash, that the story is about
+            lines.append(f"    {type(error).__name__}: {error}")
+        return lines
+
+
+class _Run:
+    """One play."""
+
+    def __init__(self, setup: dict[str, int], seed: int) -> None:
+        self.setup = setup
+        self.host = Host(self.settings(setup["max_attempts"]), seed)
+
+    def settings(self, max_attempts: int) -> api.Settings:
+        s = self.setup
+        return api.Settings(
+            CLASSES, [api.Tenant("north", 20.0, 0.5), api.Tenant("south", 20.0, 0.5)], over_share_worth=0.2,
+            instances=s["instances"], tick_us=4000, max_attempts=max_attempts, cancel=bool(s["cancel"]),
+            max_retry_after_us=1_000_000, connect_timeout_us=150_000, second_copies=bool(s["second_copies"]),
+            list_on_request=bool(s["on_request"]), ask_within_us=10_000_000, cold_share=0.2, warm_up_us=WARM_UP_US,
+            overload_factor=2.5, fall_us=1_000_000, cross_zone_fee=0.02 * s["fee"],
+            regions=[0, 0, 1] if s["regions"] else [])
+
+    def entry(self, number: int, state: api.UpstreamState = api.UpstreamState.READY,
+              started_us: int = 0) -> api.Upstream:
+        number %= self.setup["upstreams"]
+        zone = number % self.setup["zones"]
+        return api.Upstream(100 + number, state, zone, 0, number // 2, 1.0, started_us)
+
+    def begin(self) -> None:
+        started_us = self.host.now_us - 1_000_000 if self.setup["cold"] else 0
+        self.host.tell_list([self.entry(n, started_us=started_us) for n in range(self.setup["upstreams"])],
+                            api.ListKind.CACHED)
+
+    def step(self, step: Step) -> None:
+        getattr(self, step.what)(step.a, step.b)
+
+    # What can happen; numbers are taken modulo what there is
+
+    def arrive(self, cls: int, patience_us: int) -> None:
+        self.host.arrive(cls % len(CLASSES), patience_us or None, tenant=cls % 2, retried=patience_us % 5 == 1)
+
+    def _out(self) -> list[tuple[int, int]]:
+        return [(ident, n) for ident, owed in self.host.owed.items() for n in owed.out()]
+
+    def end(self, which: int, how: int) -> None:
+        """Two in three are well."""
+        out = self._out()
+        if out:
+            outcome = OUTCOMES[how % len(OUTCOMES)] if how % 3 == 0 else api.Outcome.OK
+            self.host.end(*out[which % len(out)], outcome)
+
+    def fault(self, which: int, how: int) -> None:
+        out = self._out()
+        if out:
+            self.host.end(*out[which % len(out)], BAD[how % len(BAD)])
+
+    def advance(self, by_us: int, _: int) -> None:
+        self.host.advance(by_us)
+
+    def sleep(self, by_us: int, _: int) -> None:
+        self.host.advance(by_us, held_us=by_us)
+
+    def list(self, number: int, state: int) -> None:
+        self.host.tell_list([self.entry(number, STATES[state % len(STATES)])], api.ListKind.DELTA)
+
+    def restart(self, number: int, age_us: int) -> None:
+        self.host.tell_list([self.entry(number, started_us=self.host.now_us - age_us)], api.ListKind.DELTA)
+
+    def full(self, count: int, _: int) -> None:
+        self.host.tell_list([self.entry(n) for n in range(count % (self.setup["upstreams"] + 1))])
+
+    def cached(self, count: int, _: int) -> None:
+        self.host.tell_list([self.entry(n) for n in range(count % (self.setup["upstreams"] + 1))], api.ListKind.CACHED)
+
+    def fail(self, _: int, __: int) -> None:
+        if self.host.settings.list_on_request:
+            self.host.tell(api.UpstreamsUpdated(api.ListKind.FAILED))
+
+    def quit(self, which: int, _: int) -> None:
+        open_ = [ident for ident, owed in self.host.owed.items() if not owed.closed]
+        if open_:
+            self.host.quit(open_[which % len(open_)])
+
+    def stream(self, which: int, _: int) -> None:
+        owed = self.host.owed
+        out = [(i, n) for i, n in self._out() if CLASSES[owed[i].event.class_index].stream
+               and not owed[i].stream and not owed[i].closed]
+        if out:
+            self.host.begin_stream(*out[which % len(out)])
+
+    def order(self, zone: int, leave: int) -> None:
+        self.host.tell(api.ZoneOrdered(zone % self.setup["zones"], bool(leave)))
+
+    def retune(self, most: int, _: int) -> None:
+        """New settings, classes as they are, with another limit on attempts."""
+        settings = self.settings(1 + most % 5)
+        self.host.settings = settings
+        self.host.tell(api.SettingsChanged(settings, api.places_before(settings.classes, settings.classes),
+                                           api.places_before(settings.tenants, settings.tenants)))
+
+    def whole(self, cls: int, _: int) -> None:
+        """A request whose body is still to come."""
+        self.host.arrive(cls % len(CLASSES), None, whole=False)
+
+    def passed(self, which: int, _: int) -> None:
+        """More of a body has gone on than is held, or its last byte has come."""
+        coming = [i for i, owed in self.host.owed.items() if owed.coming and not owed.closed]
+        if coming:
+            ident = coming[which % len(coming)]
+            if which % 2:
+                self.host.tell(api.BodyPassed(ident))
+            else:
+                self.host.whole(ident)
