--- a/garnetusher/model/contract.py
+++ b/garnetusher/model/contract.py
@@ -151,6 +151,7 @@
         owed.event.due_us = self.now_us + self.settings.classes[owed.event.class_index].deadline_us
         for number in owed.out():
             this = owed.tries[number]
+            this.sent_us = self.now_us  # an attempt counts once its last byte has arrived (the protocol page)
             this.ends_us = min(owed.event.due_us, self.now_us + (this.timeout_us or owed.event.due_us))
         self.tell(RequestWhole(request, owed.event.due_us))
 
