Take a long list in pieces, so that no request waits for ten thousand entries

Need: a list of 10,000 entries may hold the loop up for no more than 20 ms. Change: what comes with over 500 entries is read and told as changes of 500 each, a round of the loop apart; first what is not listed any more. A newer whole list overtakes what is not yet taken; the version moves only with the last piece, as a watch that breaks before would else never be told the rest. Option not taken: a thread for reading: entries and module share one loop and no lock.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,7 @@
 ANSWER_S = 2.5  # of a call that has not been answered: the first line may be an empty one
 CALL_AGAIN_S = 0.25  # the agent answers at once and at no cost; short beside the 1 s that a drain leaves
 LONGEST_LINE = 4 * 1024 * 1024
+PIECE = 500  # entries taken in one go, in some 5 ms; ten thousand at once would hold up all requests for 100 ms
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
@@ -55,6 +57,18 @@
                 self.idents.pop(line["uid"], None)
         return UpstreamsUpdated(kind, entries, int(lines["rev"])), addresses
 
+    def pieces(self, lines: Any) -> list[Any]:
+        """A long list as changes of a few entries each, to be read one by one: first what is not listed any more."""
+        targets = lines["targets"]
+        if len(targets) <= PIECE:
+            return [lines]
+        if lines["all"]:
+            listed = {line["uid"] for line in targets}
+            targets = [{"uid": uid, "endpoint": "0.0.0.0:1", "az": "", "model": "", "pod_group": 0, "state": "left",
+                        "capacity_hint": 1.0, "boot_ms": 0} for uid in self.idents if uid not in listed] + targets
+        return [{"rev": lines["rev"], "all": False, "targets": targets[i:i + PIECE]}
+                for i in range(0, len(targets), PIECE)]
+
     def entry(self, line: Any) -> tuple[Upstream, Address]:
         uid = line["uid"]
         if uid not in self.idents:
@@ -110,7 +124,8 @@
         for line in lines:
             if line.strip():
                 self.discovery.changed(json.loads(line))
-            self.discovery.fresh.set()  # an empty line tells that nothing has changed
+            if not self.discovery.pieces:
+                self.discovery.fresh.set()  # an empty line tells that nothing has changed
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -141,6 +156,7 @@
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.fresh = asyncio.Event()  # it has answered once: the list is no longer what others remembered
+        self.pieces: deque[tuple[Any, int | None]] = deque()  # what is not yet taken: (entries, version after them)
         self.kept = False  # the watch is called for again whenever it ends
 
     def cached(self, lines: Any) -> None:
@@ -204,9 +220,41 @@
             self.watch.fail()
 
     def changed(self, lines: Any) -> None:
-        event, addresses = self.directory.read(lines)
-        self.version = event.version
+        """Take a change, or the whole list; a long one in pieces, between which requests go on. Hazard: what is not
+        yet taken would be lost if the watch were called for from its version on."""
+        version = int(lines["rev"])
+        if lines["all"]:
+            self.pieces.clear()  # whatever has not been taken yet: this is newer
+        waiting = bool(self.pieces)
+        *first, last = self.directory.pieces(lines)
+        self.pieces.extend([*((piece, None) for piece in first), (last, version)])
+        if not waiting:
+            self.take()
+
+    def take(self) -> None:
+        """One piece; the others in later rounds of the loop."""
+        piece, version = self.pieces[0]
+        try:
+            event, addresses = self.directory.read(piece)
+        except Exception:
+            self.pieces.clear()
+            raise
+        self.pieces.popleft()
+        self.version = self.version if version is None else version
         self.listener(event, addresses)
+        if self.pieces:
+            self.loop.call_soon(self.take_next)
+        else:
+            self.fresh.set()
+
+    def take_next(self) -> None:
+        if self.pieces:
+            try:
+                self.take()
+            except Exception as error:
+                log.warning("the list can't be read: %r", error)
+                if self.watch is not None:
+                    self.watch.fail()
 
     def ended(self, watch: Watch) -> None:
         if watch is not self.watch:
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from glenkeel.interface import (
     ListKind,
     Outcome,
@@ -11,6 +13,7 @@
     UpstreamState,
     UpstreamsUpdated,
 )
+from plovertrail.discovery import PIECE, Directory, Discovery
 from tests.world import START_US, World, settings, upstreams
 
 
@@ -138,3 +141,33 @@
     world.advance(2_000_000)
     assert world.answer(request) is not None
     assert all(t.at_us > START_US for t in world.log if isinstance(t, SetTimer))
+
+
+def entry(uid: str, state: str = "active") -> dict[str, object]:
+    return {"uid": uid, "endpoint": "127.0.0.1:9", "az": "a", "model": "m", "pod_group": 0, "state": state,
+            "capacity_hint": 1.0, "boot_ms": 0}
+
+
+def test_a_long_list_is_taken_in_pieces_and_nothing_of_it_is_lost() -> None:
+    async def test() -> None:
+        heard: list[UpstreamsUpdated] = []
+        discovery = Discovery(("127.0.0.1", 9), Directory(["a"], ["m"]), lambda event, addresses: heard.append(event))
+        discovery.changed({"rev": 1, "all": True, "targets": [entry(f"old-{n}") for n in range(PIECE)]})
+        assert len(heard) == 1 and discovery.version == 1
+        old = {e.id for e in heard[0].upstreams}
+        whole = [entry(f"new-{n}") for n in range(3 * PIECE)]
+        discovery.changed({"rev": 2, "all": True, "targets": whole})
+        discovery.changed({"rev": 3, "all": False, "targets": [entry("new-7", "leaving")]})
+        assert discovery.version == 1  # else a watch that breaks now would never be told the rest
+        while discovery.pieces:
+            await asyncio.sleep(0)
+        assert discovery.version == 3 and max(len(event.upstreams) for event in heard) <= PIECE
+        states = {e.id: e.state for event in heard for e in event.upstreams}
+        assert all(states[ident] is UpstreamState.GONE for ident in old)
+        assert sum(state is UpstreamState.READY for state in states.values()) == 3 * PIECE - 1
+        discovery.changed({"rev": 4, "all": True, "targets": whole[:2 * PIECE]})
+        discovery.changed({"rev": 5, "all": True, "targets": whole[:1]})  # overtakes what is not yet taken
+        assert discovery.version == 5 and not discovery.pieces
+        assert heard[-1].kind is ListKind.FULL and len(heard[-1].upstreams) == 1
+
+    asyncio.run(test())
