Lay plain policies beside the product's own in virtual time: random, least, two choices, round robin

Need: a figure of the product's says little without what any balancer would serve on the same draws. Change: model/baselines.py, named by sidecars.policy in an experiment; garnetusher model baselines FILE prints a row for each. Option not taken: baselines behind the lab's sockets as well: virtual time agrees on worth, and a second program to serve is not what is being built.

--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -10,10 +10,12 @@
 
 import msgspec
 import typer
+from msgspec import structs
 
 from garnetusher import cli, config
 from garnetusher.cli import cost as costs
 from garnetusher.cli import explore as explorer
+from garnetusher.model import baselines as policies
 from garnetusher.model import experiment as experiments
 from garnetusher.model import explore as exploring
 from garnetusher.model import plan as plans
@@ -29,6 +31,9 @@
            "attempts_per_request", "zone_leave_s", "zone_leave_s.home", "zones_left", "zone_return_s",
            "back_to_098_s", "second_dip", "false_leaves", "rules_broken")
 
+COMPARED = ("served_worth.whole", "served_worth.during_fault", "served_worth.after", "crossings", "refused", "failed",
+            "attempts_per_request", "connections_per_request", "work_unserved", "rules_broken")
+
 
 @app.callback()
 def model() -> None:
@@ -102,6 +107,34 @@
     raise typer.Exit(cli.HELD if all(r.held for r, _ in found) else cli.NOT_HELD)
 
 
+@app.command(epilog="Example: garnetusher model baselines experiments/crash.toml --seeds 1:8")
+def baselines(file: Annotated[Path, typer.Argument(help="The experiment, in TOML.")],
+              seeds: Annotated[str, typer.Option(help="Plays of each policy, A:B.")] = "1:8",
+              json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+              ) -> None:
+    """Lay the product's policy beside plain ones on the same draws: means, a row each."""
+    try:
+        experiment, numbers = experiments.load(file), span(seeds)
+    except config.FileError as error:
+        cli.fail(str(error))
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    rows: dict[str, dict[str, float]] = {}
+    with cli.progress(f"{experiment.name} by policy") as progress, ProcessPoolExecutor() as pool:
+        for name in policies.NAMES:
+            progress(name, len(rows) / len(policies.NAMES))
+            it = structs.replace(experiment, sidecars=structs.replace(experiment.sidecars, policy=name))
+            found = [r.figures for r, _ in pool.map(play, [it] * len(numbers), numbers, [[]] * len(numbers))]
+            rows[name] = {key: round(sum(f[key] for f in found if key in f) / sum(key in f for f in found), 4)
+                          for key in COMPARED if any(key in f for f in found)}
+    if json:
+        cli.say_json({"name": experiment.name, "seeds": list(numbers), "policies": rows})
+        return
+    cli.say(f"| {experiment.name} | {' | '.join(COMPARED)} |\n| --- |{' ---: |' * len(COMPARED)}")
+    for name, row in rows.items():
+        cli.say(f"| {name} | {' | '.join(f'{row[key]:g}' if key in row else '-' for key in COMPARED)} |")
+
+
 @app.command(epilog="Example: garnetusher model cost --upstreams 10 --upstreams 10000")
 def cost(upstreams: Annotated[list[int] | None, typer.Option(min=1, help="A length of the list.")] = None,
          json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -15,9 +15,9 @@
 from garnetusher.lab import report
 from garnetusher.lab.play import play
 from garnetusher.lab.sidecars import LabError
+from garnetusher.model import baselines, figures, result
 from garnetusher.model import compare as comparison
 from garnetusher.model import experiment as experiments
-from garnetusher.model import figures, result
 from garnetusher.model import plan as plans
 from garnetusher.model.experiment import Experiment
 
@@ -112,9 +112,13 @@
 
 def _load(file: Path) -> Experiment:
     try:
-        return experiments.load(file)
+        experiment = experiments.load(file)
     except config.FileError as error:
         cli.fail(str(error))
+    if experiment.sidecars.policy != baselines.OWN:
+        cli.fail(f"{file}: sidecars.policy: expected {baselines.OWN!r} on real processes, got "
+                 f"{experiment.sidecars.policy!r}; `garnetusher model run` plays it")
+    return experiment
 
 
 def _play(experiment: Experiment, seed: int, tree: Path, folder: Path,
--- /dev/null
+++ b/garnetusher/model/baselines.py
@@ -0,0 +1,125 @@
+"""Plain policies to lay beside the product's own, on the same draws: what any balancer does with no idea of slots.
+
+Each keeps the rules (one answer, no unsafe repeat, nothing new to what drains), knows the list and its own sends, and
+repeats what may be repeated while attempts and time remain. None waits, thins out or refuses before it has failed, and
+none knows that an upstream is cold: a fleet of them may push one over, which the checker then says.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from glenkeel import interface as api
+from glenkeel.balance import Balancer
+
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+
+
+class Decisions(Protocol):
+    """What decides on a sidecar's requests."""
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+        """The actions that follow from an event; both are in glenkeel/interface.py."""
+
+
+class _Request:
+    def __init__(self, event: api.RequestArrived) -> None:
+        self.event = event
+        self.tried: list[int] = []
+        self.outcomes: list[api.Outcome] = []
+
+
+class Plain:
+    """One sidecar's decisions; `choose` picks among the ready upstreams, rather one that the request has not had."""
+
+    def __init__(self, settings: api.Settings, seed: int, choose: Callable[[Plain, list[int]], int]) -> None:
+        self.settings, self.choose = settings, choose
+        self.random = random.Random(seed)
+        self.ready: dict[int, api.Upstream] = {}
+        self.out: dict[int, int] = {}  # this sidecar's sends under way, by upstream
+        self.turn = self.random.randrange(2**30)  # of round robin
+        self.requests: dict[int, _Request] = {}
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.RequestArrived):
+            self.requests[event.request] = _Request(event)
+            return self._send(event.request)
+        if isinstance(event, api.AttemptEnded):
+            return self._ended(now_us, event)
+        if isinstance(event, api.RequestGone):
+            self.requests.pop(event.request, None)
+        elif isinstance(event, api.UpstreamsUpdated) and event.kind is not api.ListKind.FAILED:
+            if event.kind is not api.ListKind.DELTA:
+                self.ready.clear()
+            for entry in event.upstreams:
+                if entry.state is api.UpstreamState.READY:
+                    self.ready[entry.id] = entry
+                else:
+                    self.ready.pop(entry.id, None)
+        return []
+
+    def _send(self, ident: int) -> list[api.Action]:
+        request = self.requests[ident]
+        choice = [upstream for upstream in self.ready if upstream not in request.tried] or list(self.ready)
+        if not choice:
+            return self._give_up(ident)
+        upstream = self.choose(self, choice)
+        request.tried.append(upstream)
+        self.out[upstream] = self.out.get(upstream, 0) + 1
+        return [api.Send(ident, upstream, 0)]
+
+    def _ended(self, now_us: int, event: api.AttemptEnded) -> list[api.Action]:
+        self.out[event.upstream] = max(0, self.out.get(event.upstream, 0) - 1)
+        request = self.requests.get(event.request)
+        if request is None:
+            return []
+        request.outcomes.append(event.outcome)
+        if event.final:
+            del self.requests[event.request]
+            return []
+        kind = self.settings.classes[request.event.class_index]
+        again = kind.effect == "idempotent" or event.outcome in NEVER_RAN
+        if again and len(request.tried) < self.settings.max_attempts and now_us < request.event.due_us:
+            return self._send(event.request)
+        return self._give_up(event.request)
+
+    def _give_up(self, ident: int) -> list[api.Action]:
+        request = self.requests.pop(ident)
+        kind = self.settings.classes[request.event.class_index]
+        harmless = kind.effect == "idempotent" or all(outcome in NEVER_RAN for outcome in request.outcomes)
+        return [api.Refuse(ident, 0) if harmless else api.Fail(ident)]
+
+
+def _random(it: Plain, choice: list[int]) -> int:
+    return it.random.choice(choice)
+
+
+def _least(it: Plain, choice: list[int]) -> int:
+    """The one with the fewest of this sidecar's sends; among equals a random one."""
+    fewest = min(it.out.get(upstream, 0) for upstream in choice)
+    return it.random.choice([upstream for upstream in choice if it.out.get(upstream, 0) == fewest])
+
+
+def _two(it: Plain, choice: list[int]) -> int:
+    """The better of two random ones (Mitzenmacher, "The Power of Two Choices", 2001)."""
+    return min(it.random.choice(choice), it.random.choice(choice), key=lambda upstream: it.out.get(upstream, 0))
+
+
+def _round_robin(it: Plain, choice: list[int]) -> int:
+    it.turn += 1
+    return choice[it.turn % len(choice)]
+
+
+OWN = "slots"  # the product's own
+_CHOICES: dict[str, Callable[[Plain, list[int]], int]] = {
+    "random": _random, "least": _least, "two": _two, "round_robin": _round_robin}
+NAMES = (OWN, *_CHOICES)
+
+
+def decisions(name: str, settings: api.Settings, seed: int, now_us: int) -> Decisions:
+    """One sidecar's decisions by the name of their policy; raises KeyError on an unknown one."""
+    if name == OWN:
+        return Balancer(settings, seed, now_us)
+    return Plain(settings, seed, _CHOICES[name])
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -97,6 +97,7 @@
     max_attempts: Count = 3
     second_copies: bool = True
     spread: NotNegative = 0.8  # of their traffic: the coefficient of variation
+    policy: Literal["slots", "random", "least", "two", "round_robin"] = "slots"  # virtual time only: baselines.py
 
 
 class Load(Struct, forbid_unknown_fields=True):
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -12,7 +12,7 @@
 
 from msgspec import structs
 
-from garnetusher.model import beliefs, draw
+from garnetusher.model import baselines, beliefs, draw
 from garnetusher.model.client import WAIT_ON_US, Client
 from garnetusher.model.clock import Clock
 from garnetusher.model.experiment import Experiment
@@ -45,7 +45,6 @@
 )
 from garnetusher.model.upstream import Action, FellOver, Finished, TurnedAway, Upstream
 from glenkeel import interface as api
-from glenkeel.balance import Balancer
 
 EPOCH_US = 10**12  # the module's clock at the start of a play: a start at 0 would mean long ago
 DIAL_TIMEOUT_US = 200_000  # as the settings of a sidecar say
@@ -256,7 +255,8 @@
         self.settings = settings(world.experiment, world.plan, self.plan)
         self.idents: dict[str, int] = {}
         self.uids: dict[int, str] = {}
-        self.balancer = Balancer(self.settings, seed, EPOCH_US + world.clock.now_us)
+        self.balancer = baselines.decisions(world.experiment.sidecars.policy, self.settings, seed,
+                                            EPOCH_US + world.clock.now_us)
         self.tell(api.UpstreamsUpdated(api.ListKind.CACHED, [self.entry(step) for step in world.listed.values()]))
         self.tell(api.TimerFired(0))
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -10,10 +10,11 @@
 
 import pytest
 
-from garnetusher.model import checker, figures, plan
+from garnetusher.model import baselines, checker, figures, plan
 from garnetusher.model.clock import Clock, Stall
 from garnetusher.model.experiment import scaled
 from garnetusher.model.world import World
+from glenkeel.balance import Balancer
 from tests.experiment import ROOT, small, text
 
 FAULTS = {
@@ -61,10 +62,22 @@
         found = figures.figures(it, made, lines, requests, 0, 0.0, 0)
         assert found["served_worth.before"] > 0.9 and found["served_worth.after"] > 0.7
         for sidecar in world.sidecars.values():  # nothing is left of what has been answered
+            assert isinstance(sidecar.balancer, Balancer)
             assert not sidecar.open and not sidecar.balancer.requests
             assert all(server.used == 0 for server in sidecar.balancer.servers.values())
 
 
+@pytest.mark.parametrize("policy", [name for name in baselines.NAMES if name != baselines.OWN])
+def test_a_plain_policy_keeps_the_rules_on_warm_upstreams(policy: str) -> None:
+    it = small(seconds=4, more=f"[[fault]]\nat_s = 1\nfor_s = 1\n{FAULTS['one way']}")
+    it.sidecars.policy = policy  # type: ignore[assignment]
+    made = plan.make(it, 1)
+    lines = World(it, made).run()
+    assert checker.check(it, made, lines) == []
+    found = figures.figures(it, made, lines, figures.requests_of(it, lines), 0, 0.0, 0)
+    assert found["served_worth.before"] > 0.9 and 0.3 < found["crossings"] < 0.8  # it knows nothing of zones
+
+
 def test_a_fleet_is_scaled_in_all_its_parts() -> None:
     more = scaled(small(), 20)
     assert more.sidecars.per_zone == {"a": 10, "b": 10} and more.upstreams.per_zone == {"a": 30, "b": 30}
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -10,6 +10,7 @@
 
 from garnetusher.model import checker, experiment, figures, plan
 from garnetusher.model.ablations import without
+from garnetusher.model.records import Believed
 from garnetusher.model.world import World
 from glenkeel import interface as api
 from glenkeel.zones import State, Zone, Zones
@@ -137,19 +138,10 @@
 def left(name: str, seed: int = 1) -> tuple[Counter[str], dict[str, float]]:
     it = experiment.load(ROOT / "experiments" / f"{name}.toml")
     made = plan.make(it, seed)
-    world, moves = World(it, made), Counter[str]()
-    for each in world.sidecars.values():
-        changed = each.balancer.zones.changed
-
-        def count(zone: Zone, before: State, changed: Any = changed) -> None:
-            moves[it.topology.zones[zone.number] if zone.state is State.LEFT else ""] += 1
-            changed(zone, before)
-
-        each.balancer.zones.changed = count
-    lines = world.run()
+    lines = World(it, made).run()
+    moves = Counter(r.zone for r in lines if isinstance(r, Believed) and r.state == "left")
     assert checker.check(it, made, lines) == []
     requests = figures.requests_of(it, lines)
-    del moves[""]
     return moves, figures.figures(it, made, lines, requests, 0, 0.0, 0)
 
 
