Make links and list entries of virtual time when they are first used

Need: 10,000 sidecars with 300 upstreams are three million links, of which few are ever used, and as many list entries.

--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from msgspec import structs
@@ -65,6 +65,17 @@
     waiting: list[tuple[bool, object]] = field(default_factory=list)  # (towards the upstream, what)
 
 
+class _Pairs(dict[tuple[str, str], _Pair]):
+    """Made when they are first used: of all sidecars and upstreams of a large fleet few ever meet."""
+
+    def __init__(self, way_us: Callable[[str, str], int]) -> None:
+        super().__init__()
+        self.way_us = way_us
+
+    def __missing__(self, key: tuple[str, str]) -> _Pair:
+        return self.setdefault(key, _Pair(self.way_us(*key)))
+
+
 @dataclass(slots=True)
 class _Line:
     """A connection."""
@@ -542,11 +553,16 @@
         if step.uid not in self.idents:
             self.idents[step.uid] = len(self.idents) + 1
             self.uids[self.idents[step.uid]] = step.uid
+        key = (self.idents[step.uid], step.uid, step.state, step.started_us)
+        known = self.world.entries.get(key)
+        if known is not None:
+            return known
         zones = self.world.experiment.topology.zones
         state = {"active": api.UpstreamState.READY, "leaving": api.UpstreamState.DRAINING,
                  "left": api.UpstreamState.GONE}[step.state]
         started = 0 if step.started_us == LONG_AGO else EPOCH_US + step.started_us
-        return api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started)
+        return self.world.entries.setdefault(
+            key, api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started))
 
     def listed(self, step: ListStep, life: int) -> None:
         if self.awake(self.listed, step, life) and life == self.life:
@@ -564,9 +580,12 @@
         self.rng = random.Random(f"{plan.seed} network")
         topology = experiment.topology
         zones = {u.uid: u.zone for u in plan.upstreams}
-        self.pairs = {(uid, s.name): _Pair(round(topology.one_way_ms(s.zone, zone) * 1000))
-                      for uid, zone in zones.items() for s in plan.sidecars}
-        self.pairs |= {(DIRECTORY, s.name): _Pair(round(topology.cross_zone_ms * 1000)) for s in plan.sidecars}
+        ways = {(here, there): round(topology.one_way_ms(here, there) * 1000)
+                for here in topology.zones for there in topology.zones}
+        homes = {s.name: s.zone for s in plan.sidecars}
+        self.pairs = _Pairs(lambda party, name: round(topology.cross_zone_ms * 1000) if party == DIRECTORY
+                            else ways[homes[name], zones[party]])
+        self.entries: dict[tuple[int, str, str, int], api.Upstream] = {}  # shared by all sidecars that know it so
         self.listed = {u.uid: ListStep(0, u.uid, u.zone, "active") for u in plan.upstreams if u.from_us == 0}
         self.machines: dict[str, _Machinery] = {}
         self.sidecars: dict[str, Sidecar] = {}
