Count for cold upstreams what finds no slot, not only what is served

Refused were requests that found no slot, with warm upstreams at their limits and cold ones not due. Causes looked at: slots of warm ones too few; thinning (admitted at 1.0 in most refusals); dues: what comes due to a cold one is its part of what its pool serves, so with the warm ones full the cold ones stay at that however many requests go without. Change: a request that finds no slot in a pool counts there beside what is served, for half of that at the most, and for nothing once half of all find none. A pool that is all cold keeps its own bound.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -23,6 +23,7 @@
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.85  # of the slow time, where slots settle: more chokes crowded upstreams, less refuses early
 ROOM = FULL_LOAD / 2  # of the slow time, under which a tier has room: its excess opens slots there, not far away
+UNMET_PART = 0.5  # of what is served: so much of what finds no slot counts beside it for cold upstreams, at the most
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
@@ -212,6 +213,12 @@
         server = self.draw(request)
         for pool in self.pools[:self.pools.index(server.pool)] if server is not None else self.pools:
             pool.short_us = self.now_us
+            if pool.cohorts and not pool.all_cold():
+                # hazard: by what is served alone cold ones idle while the warm ones are full and requests refused;
+                # but an overload, of which half finds no slot, would push them over
+                counts = min(pool.admitted * max(0.0, 1.0 - 2.0 * self.unsent), pool.unmet)
+                pool.unmet -= counts
+                pool.served += counts
         if server is not None:
             self.send(request, server)
             return
@@ -525,7 +532,10 @@
         self.free_slot(attempt)
         if outcome not in UNJUDGED:  # hazard: bad requests would close every upstream's slots
             self.judge(attempt, outcome, elapsed_us, request.kind)
-        attempt.server.pool.served += float(outcome is api.Outcome.OK)
+        if outcome is api.Outcome.OK:
+            pool = attempt.server.pool
+            pool.served += 1.0
+            pool.unmet = min(pool.unmet + UNMET_PART, 2.0)
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
             kind = request.kind
--- a/glenkeel/slots.py
+++ b/glenkeel/slots.py
@@ -77,6 +77,7 @@
         self.credit = 1.0  # draws admitted and not yet used
         self.load = 0.0  # its answers' times of late: 1 = half the aim
         self.served = 0.0  # answers so far, and what arrivals count for beside them
+        self.unmet = 0.0  # of what finds no slot, how much may still count beside them
         self.counted = 0.0  # of them, those of which cold upstreams have had their parts
         self.rate = 0.0  # sends a second, of late
         self.rated_us = now_us
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -213,6 +213,19 @@
     assert sends_to_a_cold_pool(every_us=10_000) <= 440  # 478 without the bound of the allowance
 
 
+def test_cold_upstreams_get_their_part_of_what_finds_no_slot() -> None:
+    world = World(settings(instances=4, second_copies=False))
+    world.tell_list([*upstreams(2), *(Upstream(n, started_us=START_US - 6_000_000) for n in range(1, 11))])
+    for _ in range(240):  # forty a second: the two warm ones take six at a time
+        world.arrive(READ)
+        world.advance(25_000)
+        late = [(ident, number) for ident, owed in world.owed.items() for number in owed.out()
+                if world.now_us >= owed.tries[number].sent_us + 140_000]
+        for ident, number in late:
+            world.end(ident, number, Outcome.OK)
+    assert sum(send.upstream < 100 for send in world.sends()) >= 62  # 70; 54 where only what is served counts
+
+
 def test_drained_upstreams_get_nothing() -> None:
     world = ready_world(2)
     world.tell_list([Upstream(100, UpstreamState.DRAINING), Upstream(101, UpstreamState.GONE)])
