--- a/garnetusher/model/figures.py
+++ b/garnetusher/model/figures.py
@@ -122,7 +122,7 @@
     out |= _times(experiment, plan, records, requests, aims)
     out |= _usage(records)
     out |= beliefs.figures(experiment, plan, records)
-    return {name: round(value, 5) for name, value in out.items()}
+    return {name: round(float(value), 5) for name, value in out.items()}  # numpy's own floats are no JSON
 
 
 def _traffic(plan: Plan, records: list[AnyRecord], requests: int, zone_of: dict[str, str]) -> dict[str, float]:
