--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -15,6 +16,7 @@
 from garnetusher import cli, config
 from garnetusher.cli import cost as costs
 from garnetusher.cli import explore as explorer
+from garnetusher.cli import trees
 from garnetusher.model import baselines as policies
 from garnetusher.model import experiment as experiments
 from garnetusher.model import explore as exploring
@@ -68,8 +70,11 @@
         sidecars: Annotated[int | None, typer.Option(min=1, help="So many, with all else in proportion.")] = None,
         off: Annotated[list[str] | None, typer.Option(
             "--without", help=f"A part of the decisions to do without: {', '.join(ABLATIONS)}.")] = None,
+        tree: Annotated[Path | None, typer.Option(help="A checkout whose decisions are played; else these.")] = None,
         json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
     """Play an experiment in virtual time; print its figures against their bounds."""
+    if tree is not None:
+        raise typer.Exit(trees.call(tree, sys.argv[1:]))
     try:
         experiment = experiments.load(file)
         numbers = span(seeds) if seeds is not None else [experiment.seed if seed is None else seed]
--- a/garnetusher/model/ablations.py
+++ b/garnetusher/model/ablations.py
@@ -5,8 +5,12 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from glenkeel import zones
-from glenkeel.zones import State, Zone, Zones
+try:
+    from glenkeel import zones
+    from glenkeel.zones import State, Zone, Zones
+    HAS_ZONES = True
+except ImportError:  # the module of an earlier tree, which has none of these parts
+    HAS_ZONES = False
 
 
 def _leaving() -> None:
@@ -50,12 +54,16 @@
     zones.LONGEST_WAIT_US = zones.FIRST_WAIT_US
 
 
-ABLATIONS = {part.__name__[1:]: part for part in (_leaving, _lateness, _slowness, _doubt, _steps, _coldness, _waits)}
+PARTS = (_leaving, _lateness, _slowness, _doubt, _steps, _coldness, _waits) if HAS_ZONES else ()
+ABLATIONS = {part.__name__[1:]: part for part in PARTS}
 
 
 @contextmanager
 def without(names: list[str]) -> Iterator[None]:
     """Play without these parts; raises KeyError on a name that is none."""
+    if not names:
+        yield
+        return
     kept = [(zones, name, getattr(zones, name)) for name in ("SLOW_TIMES", "STEPS", "LONGEST_WAIT_US")]
     methods = [(name, getattr(Zones, name)) for name in ("compare", "overdue", "doubted", "move")]
     try:
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from msgspec import structs
 
@@ -658,6 +660,10 @@
 def settings(experiment: Experiment, plan: Plan, sidecar: SidecarPlan) -> api.Settings:
     """What the lab writes into a sidecar's file, as the module takes it."""
     u, zones = experiment.upstreams, experiment.topology.zones
+    names = list(experiment.topology.regions)
+    # an earlier tree's module, which `model run --tree` plays, does not know these
+    known = {known.name for known in dataclasses.fields(api.Settings)}
+    later: dict[str, Any] = {"regions": [names.index(experiment.topology.region_of(zone)) for zone in zones]}
     return api.Settings(
         classes=[api.RequestClass(c.name, int(c.aim_ms * 1000), int(c.deadline_ms * 1000), c.worth, effect=c.effect)
                  for c in experiment.classes],
@@ -668,4 +674,4 @@
         connect_timeout_us=DIAL_TIMEOUT_US, cancel=True, second_copies=experiment.sidecars.second_copies,
         cold_share=min(0.13, u.cold_share), warm_up_us=int(u.warm_up_s * 1e6), overload_factor=u.overload_factor,
         fall_us=int(u.fall_s * 1e6), cross_zone_fee=0.022, weighted=True,
-        regions=[list(experiment.topology.regions).index(experiment.topology.region_of(zone)) for zone in zones])
+        **{name: value for name, value in later.items() if name in known})
