Let the client see a crash before the lab does, in the test of a sidecar that dies later

Cause: the test took the first breach for the crash; a try that was open may break for its client some milliseconds before the lab sees the process end, and comes first then: it failed in one of four runs.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -119,7 +119,8 @@
 
 def test_a_sidecar_that_dies_later_is_a_crash(tmp_path: Path) -> None:
     run = DEPLOY["run"].replace("exec ", f"cd {ROOT}; (sleep 1.5; kill -9 $$) & exec ")
-    assert [b.rule for b in breaches(tmp_path, small(), run)][:1] == ["crash"]
+    # what was open is lost with it, and its client may see that before the lab sees the process end
+    assert {"crash"} <= {b.rule for b in breaches(tmp_path, small(), run)} <= {"crash", "one_answer"}
 
 
 def breaches(folder: Path, it: experiment.Experiment, run: str) -> list[checker.Breach]:
