--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import os
+import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
+from msgspec import structs
 
 from garnetusher import cli, config
 from garnetusher.cli import cost as costs
+from garnetusher.cli import explore as explorer
+from garnetusher.cli import trees
+from garnetusher.model import baselines as policies
 from garnetusher.model import experiment as experiments
+from garnetusher.model import explore as exploring
 from garnetusher.model import plan as plans
 from garnetusher.model import result
 from garnetusher.model.ablations import ABLATIONS, without
@@ -26,6 +33,9 @@
            "attempts_per_request", "zone_leave_s", "zone_leave_s.home", "zones_left", "zone_return_s",
            "back_to_098_s", "second_dip", "false_leaves", "rules_broken")
 
+COMPARED = ("served_worth.whole", "served_worth.during_fault", "served_worth.after", "crossings", "refused", "failed",
+            "attempts_per_request", "connections_per_request", "work_unserved", "rules_broken")
+
 
 @app.callback()
 def model() -> None:
@@ -60,8 +70,11 @@
         sidecars: Annotated[int | None, typer.Option(min=1, help="So many, with all else in proportion.")] = None,
         off: Annotated[list[str] | None, typer.Option(
             "--without", help=f"A part of the decisions to do without: {', '.join(ABLATIONS)}.")] = None,
+        tree: Annotated[Path | None, typer.Option(help="A checkout whose decisions are played; else these.")] = None,
         json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
     """Play an experiment in virtual time; print its figures against their bounds."""
+    if tree is not None:
+        raise typer.Exit(trees.call(tree, sys.argv[1:]))
     try:
         experiment = experiments.load(file)
         numbers = span(seeds) if seeds is not None else [experiment.seed if seed is None else seed]
@@ -99,6 +112,34 @@
     raise typer.Exit(cli.HELD if all(r.held for r, _ in found) else cli.NOT_HELD)
 
 
+@app.command(epilog="Example: garnetusher model baselines experiments/crash.toml --seeds 1:8")
+def baselines(file: Annotated[Path, typer.Argument(help="The experiment, in TOML.")],
+              seeds: Annotated[str, typer.Option(help="Plays of each policy, A:B.")] = "1:8",
+              json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+              ) -> None:
+    """Lay the product's policy beside plain ones on the same draws: means, a row each."""
+    try:
+        experiment, numbers = experiments.load(file), span(seeds)
+    except config.FileError as error:
+        cli.fail(str(error))
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    rows: dict[str, dict[str, float]] = {}
+    with cli.progress(f"{experiment.name} by policy") as progress, ProcessPoolExecutor() as pool:
+        for name in policies.NAMES:
+            progress(name, len(rows) / len(policies.NAMES))
+            it = structs.replace(experiment, sidecars=structs.replace(experiment.sidecars, policy=name))
+            found = [r.figures for r, _ in pool.map(play, [it] * len(numbers), numbers, [[]] * len(numbers))]
+            rows[name] = {key: round(sum(f[key] for f in found if key in f) / sum(key in f for f in found), 4)
+                          for key in COMPARED if any(key in f for f in found)}
+    if json:
+        cli.say_json({"name": experiment.name, "seeds": list(numbers), "policies": rows})
+        return
+    cli.say(f"| {experiment.name} | {' | '.join(COMPARED)} |\n| --- |{' ---: |' * len(COMPARED)}")
+    for name, row in rows.items():
+        cli.say(f"| {name} | {' | '.join(f'{row[key]:g}' if key in row else '-' for key in COMPARED)} |")
+
+
 @app.command(epilog="Example: garnetusher model cost --upstreams 10 --upstreams 10000")
 def cost(upstreams: Annotated[list[int] | None, typer.Option(min=1, help="A length of the list.")] = None,
          json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
@@ -113,3 +154,44 @@
         cli.say_json(found)
     else:
         cli.say(costs.table(found))
+
+
+@app.command(epilog="Example: garnetusher model explore module --seeds 1:20000")
+def explore(part: Annotated[str, typer.Argument(help=f"What to explore: {', '.join(explorer.PARTS)}.")],
+            seeds: Annotated[str, typer.Option(help="A schedule each, A:B.")] = "1:2000",
+            steps: Annotated[int, typer.Option(min=4, help="In a schedule, at the most.")] = 120,
+            out: Annotated[Path, typer.Option(help="Where what breaks is kept.")] = Path("found"),
+            json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+            ) -> None:
+    """Play seeded schedules of events against a core; shrink and keep those that break a rule."""
+    if part not in explorer.PARTS:
+        cli.fail(f"{part}: expected one of {', '.join(explorer.PARTS)}")
+    try:
+        numbers = span(seeds)
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    with cli.progress(f"exploring {part}") as progress:
+        for found in explorer.search(part, numbers, steps):
+            progress(f"{len(found.finds)} found", found.schedules / len(numbers))
+    paths = explorer.keep(found, out)
+    if json:
+        cli.say_json(found)
+    else:
+        cli.say("\n".join([*found.lines, *(f"kept: {path}" for path in paths)]))
+    raise typer.Exit(cli.NOT_HELD if found.finds else cli.HELD)
+
+
+@app.command(epilog="Example: garnetusher model replay found/module-slots-17.json")
+def replay(file: Annotated[Path, typer.Argument(help="What `model explore` has kept.")]) -> None:
+    """Play a schedule that broke a rule once more; tell it step by step."""
+    try:
+        find = exploring.kept(file)
+    except (OSError, msgspec.MsgspecError) as error:
+        cli.fail(f"{file}: expected a schedule that `model explore` has kept: {error}")
+    if find.schedule.part not in explorer.PARTS:
+        cli.fail(f"{file}: part: expected one of {', '.join(explorer.PARTS)}, got {find.schedule.part!r}")
+    part = explorer.PARTS[find.schedule.part]
+    broken = part.play(find.schedule)
+    cli.say("\n".join(part.tell(find.schedule)))
+    cli.say(f"broke {broken.text}" if broken is not None else f"holds now; it broke {find.broken.text}")
+    raise typer.Exit(cli.HELD if broken is None else cli.NOT_HELD)
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from msgspec import structs
 
-from garnetusher.model import beliefs, draw
+from garnetusher.model import baselines, beliefs, draw
 from garnetusher.model.client import WAIT_ON_US, Client
 from garnetusher.model.clock import Clock
 from garnetusher.model.experiment import Experiment
@@ -45,7 +47,6 @@
 )
 from garnetusher.model.upstream import Action, FellOver, Finished, TurnedAway, Upstream
 from glenkeel import interface as api
-from glenkeel.balance import Balancer
 
 EPOCH_US = 10**12  # the module's clock at the start of a play: a start at 0 would mean long ago
 DIAL_TIMEOUT_US = 200_000  # as the settings of a sidecar say
@@ -66,6 +67,17 @@
     waiting: list[tuple[bool, object]] = field(default_factory=list)  # (towards the upstream, what)
 
 
+class _Pairs(dict[tuple[str, str], _Pair]):
+    """Made when they are first used: of all sidecars and upstreams of a large fleet few ever meet."""
+
+    def __init__(self, way_us: Callable[[str, str], int]) -> None:
+        super().__init__()
+        self.way_us = way_us
+
+    def __missing__(self, key: tuple[str, str]) -> _Pair:
+        return self.setdefault(key, _Pair(self.way_us(*key)))
+
+
 @dataclass(slots=True)
 class _Line:
     """A connection."""
@@ -256,7 +268,8 @@
         self.settings = settings(world.experiment, world.plan, self.plan)
         self.idents: dict[str, int] = {}
         self.uids: dict[int, str] = {}
-        self.balancer = Balancer(self.settings, seed, EPOCH_US + world.clock.now_us)
+        self.balancer = baselines.decisions(world.experiment.sidecars.policy, self.settings, seed,
+                                            EPOCH_US + world.clock.now_us)
         self.tell(api.UpstreamsUpdated(api.ListKind.CACHED, [self.entry(step) for step in world.listed.values()]))
         self.tell(api.TimerFired(0))
 
@@ -542,11 +555,16 @@
         if step.uid not in self.idents:
             self.idents[step.uid] = len(self.idents) + 1
             self.uids[self.idents[step.uid]] = step.uid
+        key = (self.idents[step.uid], step.uid, step.state, step.started_us)
+        known = self.world.entries.get(key)
+        if known is not None:
+            return known
         zones = self.world.experiment.topology.zones
         state = {"active": api.UpstreamState.READY, "leaving": api.UpstreamState.DRAINING,
                  "left": api.UpstreamState.GONE}[step.state]
         started = 0 if step.started_us == LONG_AGO else EPOCH_US + step.started_us
-        return api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started)
+        return self.world.entries.setdefault(
+            key, api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started))
 
     def listed(self, step: ListStep, life: int) -> None:
         if self.awake(self.listed, step, life) and life == self.life:
@@ -564,9 +582,12 @@
         self.rng = random.Random(f"{plan.seed} network")
         topology = experiment.topology
         zones = {u.uid: u.zone for u in plan.upstreams}
-        self.pairs = {(uid, s.name): _Pair(round(topology.one_way_ms(s.zone, zone) * 1000))
-                      for uid, zone in zones.items() for s in plan.sidecars}
-        self.pairs |= {(DIRECTORY, s.name): _Pair(round(topology.cross_zone_ms * 1000)) for s in plan.sidecars}
+        ways = {(here, there): round(topology.one_way_ms(here, there) * 1000)
+                for here in topology.zones for there in topology.zones}
+        homes = {s.name: s.zone for s in plan.sidecars}
+        self.pairs = _Pairs(lambda party, name: round(topology.cross_zone_ms * 1000) if party == DIRECTORY
+                            else ways[homes[name], zones[party]])
+        self.entries: dict[tuple[int, str, str, int], api.Upstream] = {}  # shared by all sidecars that know it so
         self.listed = {u.uid: ListStep(0, u.uid, u.zone, "active") for u in plan.upstreams if u.from_us == 0}
         self.machines: dict[str, _Machinery] = {}
         self.sidecars: dict[str, Sidecar] = {}
@@ -639,6 +660,10 @@
 def settings(experiment: Experiment, plan: Plan, sidecar: SidecarPlan) -> api.Settings:
     """What the lab writes into a sidecar's file, as the module takes it."""
     u, zones = experiment.upstreams, experiment.topology.zones
+    names = list(experiment.topology.regions)
+    # an earlier tree's module, which `model run --tree` plays, does not know these
+    known = {known.name for known in dataclasses.fields(api.Settings)}
+    later: dict[str, Any] = {"regions": [names.index(experiment.topology.region_of(zone)) for zone in zones]}
     return api.Settings(
         classes=[api.RequestClass(c.name, int(c.aim_ms * 1000), int(c.deadline_ms * 1000), c.worth, effect=c.effect)
                  for c in experiment.classes],
@@ -649,4 +674,4 @@
         connect_timeout_us=DIAL_TIMEOUT_US, cancel=True, second_copies=experiment.sidecars.second_copies,
         cold_share=min(0.13, u.cold_share), warm_up_us=int(u.warm_up_s * 1e6), overload_factor=u.overload_factor,
         fall_us=int(u.fall_s * 1e6), cross_zone_fee=0.022, weighted=True,
-        regions=[list(experiment.topology.regions).index(experiment.topology.region_of(zone)) for zone in zones])
+        **{name: value for name, value in later.items() if name in known})
