--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,59 @@
+"""Figures from what sidecars logged of zones; and the decisions of another tree on the same draws."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+
+from garnetusher import __main__ as command
+from garnetusher.model import beliefs, experiment, plan
+from garnetusher.model.records import Believed
+from tests.experiment import ROOT, text
+
+SECOND = 1_000_000
+
+
+def test_times_to_leave_and_false_leaves_are_told_apart() -> None:
+    it = experiment.load(ROOT / "experiments" / "zone-silent.toml")  # pacheco, from 8 to 18 s
+    made = plan.make(it, 1)
+    lines = [("pacheco-0", "pacheco", 8.2, "left"), ("pacheco-1", "pacheco", 8.6, "left"),
+             ("ezeiza-0", "pacheco", 11.0, "left"), ("ezeiza-0", "barracas", 12.0, "left"),
+             ("pacheco-0", "pacheco", 19.0, "returning"), ("pacheco-0", "pacheco", 21.0, "near")]
+    told = []
+    for name, zone, at_s, state in lines:
+        line = f"INFO zone {it.topology.zones.index(zone)}: near -> {state}: why"
+        belief = beliefs.belief(round(at_s * SECOND), name, line, it.topology.zones)
+        assert belief == Believed(round(at_s * SECOND), name, zone, "near", state, "why")
+        told.append(belief)
+    assert beliefs.belief(0, "x", "upstream 3 rests", it.topology.zones) is None
+    found = beliefs.figures(it, made, told)
+    assert found["zone_leave_s"] == pytest.approx(0.6) and found["zone_leave_s.home"] == pytest.approx(0.4)
+    assert found["false_leaves"] == 1 and found["zones_left"] == 1
+    assert found["zone_return_s"] == pytest.approx(3.0)
+    assert found["zone_state_s.left"] == pytest.approx((10.8 + 23.4 + 21 + 20) / 18)
+
+
+def run(monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str], *words: str) -> tuple[int, str]:
+    monkeypatch.setattr(sys, "argv", ["garnetusher", "model", "run", *words])
+    status = command.main()
+    out = capfd.readouterr()
+    return status, out.out + out.err
+
+
+def test_an_earlier_trees_decisions_are_played(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                               capfd: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "small.toml").write_text(text(seconds=2))
+    tree = tmp_path / "tree" / "glenkeel"
+    tree.mkdir(parents=True)
+    for path in (ROOT / "glenkeel").glob("*.py"):
+        (tree / path.name).write_text(path.read_text().replace("FIRST_SLOTS = 3.0", "FIRST_SLOTS = 1.0"))
+    digests = []
+    for words in ((), ("--tree", str(ROOT)), ("--tree", str(tree.parent))):
+        _, out = run(monkeypatch, capfd, str(tmp_path / "small.toml"), "--json", *words)
+        digests.append(json.loads(out)["digest"])
+    assert digests[0] == digests[1] != digests[2]
+    status, out = run(monkeypatch, capfd, str(tmp_path / "small.toml"), "--tree", str(tmp_path))
+    assert status == 2 and "expected a checkout with glenkeel/balance.py" in out
