Put a sidecar on its cores in the child, as it may have ended before the lab does it

Ruled out: a slow or loaded machine (the call comes straight after the start, any quick death may overtake it) and the test's own time limit (the play ended at once). Change: the child sets its cores itself before exec, so its first step is on them too, and nothing races its end. Not taken: to catch the error, which would leave a process that lives on the wrong cores for its first moments.

--- a/garnetusher/lab/sidecars.py
+++ b/garnetusher/lab/sidecars.py
@@ -129,13 +129,17 @@
         with self.log_path.open("ab") as file:
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", fleet.command, cwd=fleet.tree, stdin=subprocess.DEVNULL, stdout=file, stderr=file,
-                env=_plain() | told, preexec_fn=die_with_parent, start_new_session=True)
-        os.sched_setaffinity(self.process.pid, fleet.cores)
+                env=_plain() | told, preexec_fn=self._before_exec, start_new_session=True)
         self.expected = False
         fleet.record(name, "spawned", self.process.pid)
         log.info("lab.sidecar.started", sidecar=name, pid=self.process.pid)
         fleet.watch(self, self.process)
 
+    def _before_exec(self) -> None:
+        """In the child, on its cores from its first step; set from here, it may have ended before."""
+        die_with_parent()
+        os.sched_setaffinity(0, self.fleet.cores)
+
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
