Play the list's calls in virtual time; draw what a fleet costs as it grows; lay lab and model side by side

Change: [directory] call_ms and calls_waiting, in the lab's list and in virtual time: calls are answered one after another, beyond a queue they are turned away; a sidecar in virtual time calls as plovertrail/discovery.py does, on_request too. 'model curve' plays a growing fleet, or more sidecars alone, for each policy; 'model fidelity' plays what the lab has played. CPU of decisions is metered by a clock that the caller hands in, as the model has none. Not taken: to scale the lab's own list service, which the project's own discovery replaces.

--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Annotated
@@ -15,17 +14,16 @@
 
 from garnetusher import cli, config
 from garnetusher.cli import cost as costs
+from garnetusher.cli import curves as growing
 from garnetusher.cli import explore as explorer
+from garnetusher.cli import fidelity as faithful
 from garnetusher.cli import trees
+from garnetusher.cli.plays import play, span
 from garnetusher.model import baselines as policies
 from garnetusher.model import experiment as experiments
 from garnetusher.model import explore as exploring
-from garnetusher.model import plan as plans
-from garnetusher.model import result
-from garnetusher.model.ablations import ABLATIONS, without
+from garnetusher.model.ablations import ABLATIONS
 from garnetusher.model.clock import Stall
-from garnetusher.model.experiment import Experiment
-from garnetusher.model.world import World
 
 app = typer.Typer(no_args_is_help=True, help="The same experiments in virtual time, with the real decisions.")
 
@@ -42,27 +40,6 @@
     """The same experiments in virtual time, with the real decisions."""
 
 
-def play(experiment: Experiment, seed: int, off: list[str]) -> tuple[result.Result, float]:
-    """One play, without the parts that are off, and the seconds that it took here."""
-    began = time.perf_counter()
-    plan = plans.make(experiment, seed)
-    with without(off):
-        world = World(experiment, plan)
-        lines = world.run()
-    found, _ = result.judge(experiment, plan, lines, world.clock.events,
-                            not_asked=sum(s.not_asked for s in world.sidecars.values()))
-    found.digest = world.clock.digest
-    return found, time.perf_counter() - began
-
-
-def span(text: str) -> range:
-    """`A:B` as the seeds from A to B; raises ValueError."""
-    first, colon, last = text.partition(":")
-    if not colon or not first.isdecimal() or not last.isdecimal() or int(first) > int(last):
-        raise ValueError(f"expected A:B, as in 1:20, got {text!r}")
-    return range(int(first), int(last) + 1)
-
-
 @app.command(epilog="Example: garnetusher model run experiments/zone-silent.toml --sidecars 100 --seeds 1:8")
 def run(file: Annotated[Path, typer.Argument(help="The experiment, in TOML.")],
         seed: Annotated[int | None, typer.Option(min=0, help="Of all random draws; else the file's.")] = None,
@@ -92,7 +69,7 @@
         with cli.progress(f"{experiment.name} in virtual time") as progress, \
                 ProcessPoolExecutor(min(len(numbers), os.cpu_count() or 1)) as pool:
             for played in pool.map(play, [experiment] * len(numbers), numbers, [off or []] * len(numbers)):
-                found.append(played)
+                found.append((played.result, played.took_s))
                 progress("playing", len(found) / len(numbers))
     except Stall as error:
         cli.fail(str(error), cli.NOT_HELD)
@@ -129,7 +106,7 @@
         for name in policies.NAMES:
             progress(name, len(rows) / len(policies.NAMES))
             it = structs.replace(experiment, sidecars=structs.replace(experiment.sidecars, policy=name))
-            found = [r.figures for r, _ in pool.map(play, [it] * len(numbers), numbers, [[]] * len(numbers))]
+            found = [p.result.figures for p in pool.map(play, [it] * len(numbers), numbers)]
             rows[name] = {key: round(sum(f[key] for f in found if key in f) / sum(key in f for f in found), 4)
                           for key in COMPARED if any(key in f for f in found)}
     if json:
@@ -195,3 +172,57 @@
     cli.say("\n".join(part.tell(find.schedule)))
     cli.say(f"broke {broken.text}" if broken is not None else f"holds now; it broke {find.broken.text}")
     raise typer.Exit(cli.HELD if broken is None else cli.NOT_HELD)
+
+
+@app.command(epilog="Example: garnetusher model curve experiments/fleet.toml --sidecars 10 --sidecars 1000")
+def curve(file: Annotated[Path, typer.Argument(help="The experiment, in TOML.")],
+          sidecars: Annotated[list[int] | None, typer.Option(min=1, help="A size of the fleet.")] = None,
+          policy: Annotated[list[str] | None, typer.Option(help=f"One of {', '.join(policies.NAMES)}.")] = None,
+          grow: Annotated[str, typer.Option(help="What grows: `fleet` with upstreams and load, or `sidecars` alone."
+                                            )] = "fleet",
+          seeds: Annotated[str, typer.Option(help="Plays of each, A:B.")] = "1:2",
+          out: Annotated[Path, typer.Option(help="Where plots and figures go.")] = Path("found/curve"),
+          json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False) -> None:
+    """Play a fleet of growing size; a table, and a plot for each of worth, retries, crossings and other costs."""
+    try:
+        experiment, numbers = experiments.load(file), span(seeds)
+    except config.FileError as error:
+        cli.fail(str(error))
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    for name in policy or []:
+        if name not in policies.NAMES:
+            cli.fail(f"--policy {name}: expected one of {', '.join(policies.NAMES)}")
+    if grow not in growing.GROW:
+        cli.fail(f"--grow {grow}: expected one of {', '.join(growing.GROW)}")
+    sizes = sorted(set(sidecars or growing.SIZES))
+    with cli.progress(f"{experiment.name} at {len(sizes)} sizes") as progress:
+        points = growing.measure(experiment, sizes, policy or [policies.OWN], grow, numbers, progress)
+    paths = growing.draw(experiment.name, grow, points, out)
+    if json:
+        cli.say_json({"name": experiment.name, "grow": grow, "seeds": list(numbers), "points": points,
+                      "plots": [str(path) for path in paths]})
+    else:
+        cli.say("\n".join([growing.table(points), "", *(f"plot: {path}" for path in paths)]))
+
+
+@app.command(epilog="Example: garnetusher model fidelity found/calm-1 found/crash-1")
+def fidelity(folders: Annotated[list[Path], typer.Argument(help="Folders that `lab run` has filled.")],
+             library: Annotated[Path, typer.Option(help="Where the experiments' files are.")] = Path("experiments"),
+             tree: Annotated[Path | None, typer.Option(help="A checkout whose decisions are played.")] = None,
+             json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+             ) -> None:
+    """Lay plays of the lab beside the same experiments and seeds in virtual time: means by experiment."""
+    if tree is not None:
+        raise typer.Exit(trees.call(tree, sys.argv[1:]))
+    try:
+        pairs = faithful.pairs(folders, library)
+    except (config.FileError, OSError, msgspec.MsgspecError) as error:
+        cli.fail(str(error))
+    with cli.progress("fidelity") as progress:
+        found = faithful.measure(pairs, progress)
+    if json:
+        cli.say_json(found)
+    else:
+        cli.say(faithful.table(found))
+    raise typer.Exit(cli.HELD if all(row.close for row in found) else cli.NOT_HELD)
--- a/garnetusher/lab/directory.py
+++ b/garnetusher/lab/directory.py
@@ -12,12 +12,14 @@
 from garnetusher.lab import linked
 from garnetusher.lab.clockwork import Clockwork
 from garnetusher.model import draw
+from garnetusher.model.experiment import Directory
 from garnetusher.model.link import Weather
 from garnetusher.model.plan import LONG_AGO, ListStep, Plan
 from garnetusher.model.records import Listed, Told
 
 EMPTY_LINE_S = 2.0
 KEPT = 1000  # changes; a watch that asks for older ones gets the whole list
+BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 WATCH = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -33,7 +35,7 @@
     def __init__(self, service: ListService, sidecar: str, connection: linked.Connection) -> None:
         self.service, self.sidecar, self.connection = service, sidecar, connection
         self.parser = httptools.HttpRequestParser(self)
-        self.target, self.watching = b"", False
+        self.target, self.gone = b"", False
 
     def received(self, data: bytes) -> None:
         try:
@@ -42,6 +44,7 @@
             self.connection.abort()
 
     def lost(self) -> None:
+        self.gone = True
         self.service.watchers.pop(self, None)
 
     def held(self, data: bytes) -> None:
@@ -52,7 +55,7 @@
 
     def on_message_complete(self) -> None:
         target, self.target = self.target.decode("latin-1"), b""
-        self.service.asked(self, target)
+        self.service.called(self, target)
 
     def line(self, lines: dict[str, Any] | None, steps: list[ListStep]) -> None:
         """One object of a watch, or the empty line that says that nothing has changed."""
@@ -64,8 +67,10 @@
     """The upstreams, as they are listed, and who watches."""
 
     def __init__(self, clock: Clockwork, plan: Plan, addresses: dict[str, dict[str, str]],
-                 spread_us: int) -> None:
-        self.clock, self.plan, self.addresses, self.spread_us = clock, plan, addresses, spread_us
+                 figures: Directory) -> None:
+        self.clock, self.plan, self.addresses, self.figures = clock, plan, addresses, figures
+        self.spread_us = round(figures.spread_ms * 1000)
+        self.free_us = 0  # when the calls that wait will have been answered
         self.unix_zero_ms = 0  # what the calendar says when the play starts
         self.rev = 1
         self.now: dict[str, ListStep] = {
@@ -86,7 +91,21 @@
             self.clock.at(step.at_us, self._change, step)
         self._empty_lines()
 
+    def called(self, caller: Caller, target: str) -> None:
+        """Calls are answered one after another; beyond so many that wait, one is turned away at once."""
+        takes_us, now = int(self.figures.call_ms * 1000), self.clock.now_us()
+        if not takes_us:
+            self.asked(caller, target)
+        elif self.free_us - now > self.figures.calls_waiting * takes_us:
+            self.clock.write(Listed(now, caller.sidecar, "turned away"))
+            caller.connection.write(BUSY)
+        else:
+            self.free_us = max(now, self.free_us) + takes_us
+            self.clock.at(self.free_us, self.asked, caller, target)
+
     def asked(self, caller: Caller, target: str) -> None:
+        if caller.gone:  # it has not waited for its turn
+            return
         parts = urlsplit(target)
         query = parse_qs(parts.query)
         if parts.path != "/discovery/hosts":
--- a/garnetusher/lab/worker.py
+++ b/garnetusher/lab/worker.py
@@ -89,8 +89,7 @@
                 self.machines.append(machine)
                 ready[plan.uid] = {name: f"{x.host}:{x.port}" for name, x in machine.listeners.items()}
         elif job.role == "directory":
-            self.service = ListService(self.clock, job.plan, job.endpoints,
-                                       round(job.experiment.directory.spread_ms * 1000))
+            self.service = ListService(self.clock, job.plan, job.endpoints, job.experiment.directory)
             for sidecar in job.plan.sidecars:
                 self.service.link(sidecar.name, job.hosts["directory"], usual(topology, topology.cross_zone_ms))
             ready["directory"] = {name: f"{x.host}:{x.port}" for name, x in self.service.listeners.items()}
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -123,6 +123,8 @@
     notice_s: NotNegative = 2.2  # until a dead one is off the list
     silent_notice_s: NotNegative = 8.0  # until one that answers nothing is
     spread_ms: NotNegative = 80.0  # between the first and the last sidecar told
+    call_ms: NotNegative = 0.0  # that it takes for a call, one after another
+    calls_waiting: Count = 22  # beyond which a call is turned away at once
 
 
 class RequestClass(Struct, forbid_unknown_fields=True):
@@ -261,14 +263,17 @@
             for number in range(experiment.sidecars.per_zone.get(zone, 0))]
 
 
-def scaled(experiment: Experiment, sidecars: int) -> Experiment:
-    """The same with about so many sidecars, and upstreams and load in proportion; zones keep their parts."""
+def scaled(experiment: Experiment, sidecars: int, alone: bool = False) -> Experiment:
+    """The same with about so many sidecars; zones keep their parts. Upstreams and load grow with them, unless they
+    grow `alone`."""
     times = sidecars / sum(experiment.sidecars.per_zone.values())
 
     def more(counts: dict[str, int]) -> dict[str, int]:
         return {zone: max(1, round(count * times)) if count else 0 for zone, count in counts.items()}
 
     replace = msgspec.structs.replace
+    if alone:
+        return replace(experiment, sidecars=replace(experiment.sidecars, per_zone=more(experiment.sidecars.per_zone)))
     return replace(experiment, load=replace(experiment.load, requests_per_s=experiment.load.requests_per_s * times),
                    sidecars=replace(experiment.sidecars, per_zone=more(experiment.sidecars.per_zone)),
                    upstreams=replace(experiment.upstreams, per_zone=more(experiment.upstreams.per_zone)))
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from msgspec import structs
@@ -38,6 +39,7 @@
     Ended,
     GaveUp,
     Held,
+    Listed,
     Machine,
     Process,
     Quit,
@@ -52,6 +54,9 @@
 DIAL_TIMEOUT_US = 200_000  # as the settings of a sidecar say
 ANSWER_MARGIN_US = 10_000  # an answer sets out so long before its client's time is out
 LOCAL_US = 60  # between a client and its sidecar
+ASK_WITHIN_US = 10_000_000  # as the settings of a sidecar say
+LIST_ANSWER_US = 2_500_000  # a call to the list that has not been answered has failed (plovertrail/discovery.py)
+LIST_AGAIN_US = 250_000  # till the next, where the module does not ask by itself
 START_S = 0.3  # from the start of a sidecar's process until it is ready
 
 
@@ -135,7 +140,7 @@
         self.rng = random.Random(f"{world.plan.seed} {plan.uid}")
         self.jobs: dict[int, tuple[Sidecar, _Open, _Flight]] = {}
         self.last = 0
-        self.refusing = plan.from_us > 0
+        self.refusing, self.vanished = plan.from_us > 0, False
         self.lines: set[int] = set()
         self.errors, self.resets, self.failing = self.figures.error_share, 0.0, False
         self.due_us = -1
@@ -148,9 +153,17 @@
         now = self.world.clock.now_us
         if step.what == "die":
             self.drop(self.core.die(now))
+        elif step.what == "vanish":  # a machine behind a cut: nobody is told
+            self.refusing = self.vanished = True
+            self.core.die(now)
+            for number in list(self.jobs):
+                self.over(number, "dropped")
         elif step.what == "boot":
             self.core.boot(now)
             self.refusing = False
+            if self.vanished:  # its network is back at this moment, and it knows none of the old connections
+                self.vanished = False
+                self.world.clock.at(now + 1, self.forget_lines)
         elif step.what in ("hang", "resume"):
             self.act(self.core.hang(now, step.what == "hang"))
         elif step.what == "slow":
@@ -170,6 +183,9 @@
         self.refusing = True
         for number in dropped or list(self.jobs):
             self.over(number, "dropped")
+        self.forget_lines()
+
+    def forget_lines(self) -> None:
         for sidecar in self.world.sidecars.values():
             sidecar.broken(self.uid)
 
@@ -260,6 +276,8 @@
         world = self.world
         self.starts += 1
         self.up = self.asking = True
+        self.watching = False
+        self.calls = self.list_known = 0  # of this process; and the last one that was answered
         self.life = self.starts
         self.open: dict[int, _Open] = {}
         self.last = 0
@@ -272,6 +290,8 @@
                                             EPOCH_US + world.clock.now_us)
         self.tell(api.UpstreamsUpdated(api.ListKind.CACHED, [self.entry(step) for step in world.listed.values()]))
         self.tell(api.TimerFired(0))
+        if not self.settings.list_on_request:
+            self.call_list()
 
     def befall(self, step: Step) -> None:
         now = self.world.clock.now_us
@@ -389,7 +409,9 @@
     # The host
 
     def tell(self, event: api.Event) -> None:
+        began = self.world.cpu_ns()
         actions = self.balancer.handle(EPOCH_US + self.world.clock.now_us, event)
+        self.world.decided_ns += self.world.cpu_ns() - began
         for action in actions:
             self.world.clock.note(f"{self.name} {action}")
             self.carry_out(action)
@@ -410,6 +432,8 @@
         elif isinstance(action, api.Cancel) and action.request in self.open:
             request = self.open[action.request]
             self.give_up(request, action.attempt, api.Outcome.CANCELLED, self.life)
+        elif isinstance(action, api.Subscribe):
+            self.call_list()
         elif isinstance(action, api.CloseIdle) and action.upstream in self.uids:
             for line in self.idle.pop(self.uids[action.upstream], []):
                 line.open = False
@@ -566,6 +590,38 @@
         return self.world.entries.setdefault(
             key, api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started))
 
+    def call_list(self) -> None:
+        """Ask for the list and its changes from now on, in place of an earlier call."""
+        self.calls += 1
+        self.watching = not self.settings.list_on_request  # what the platform's agent holds counts as told
+        what = (self.life, self.calls)
+        self.world.carry(DIRECTORY, self.name, True, partial(self.world.called, self, *what))
+        self.world.clock.at(self.world.clock.now_us + LIST_ANSWER_US, self.list_answered, *what, False)
+
+    def call_again(self, life: int, call: int) -> None:
+        if (life, call) == (self.life, self.calls):
+            self.call_list()
+
+    def list_answered(self, life: int, call: int, taken: bool) -> None:
+        """The call's turn has come; or it was turned away, or has waited for too long."""
+        if not self.awake(self.list_answered, life, call, taken) or (life, call) != (self.life, self.calls) or \
+                self.list_known == call:
+            return
+        now = self.world.clock.now_us
+        if taken:
+            self.watching, self.list_known = True, call
+            if self.settings.list_on_request or self.world.experiment.directory.call_ms:
+                # the whole list; where calls cost nothing, a sidecar starts with the list of that moment
+                for step in self.world.listed.values():
+                    self.world.write(Told(now, self.name, step.uid, step.state, step.started_us))
+                self.tell(api.UpstreamsUpdated(api.ListKind.FULL, [self.entry(s) for s in self.world.listed.values()]))
+            return
+        self.calls += 1  # what still comes of it is too late
+        if self.settings.list_on_request:
+            self.tell(api.UpstreamsUpdated(api.ListKind.FAILED))
+        else:
+            self.world.clock.at(now + LIST_AGAIN_US, self.call_again, self.life, self.calls)
+
     def listed(self, step: ListStep, life: int) -> None:
         if self.awake(self.listed, step, life) and life == self.life:
             self.world.write(Told(self.world.clock.now_us, self.name, step.uid, step.state, step.started_us))
@@ -575,11 +631,14 @@
 class World:
     """Everything that there is."""
 
-    def __init__(self, experiment: Experiment, plan: Plan) -> None:
+    def __init__(self, experiment: Experiment, plan: Plan, cpu_ns: Callable[[], int] = lambda: 0) -> None:
         self.experiment, self.plan = experiment, plan
+        self.cpu_ns, self.decided_ns = cpu_ns, 0  # what decisions cost, where the caller has a clock for it
         self.clock = Clock()
+        self.list_free_us = 0  # when the list will have answered the calls that wait
         self.records: list[AnyRecord] = []
         self.rng = random.Random(f"{plan.seed} network")
+        self.list_rng = random.Random(f"{plan.seed} list")
         topology = experiment.topology
         zones = {u.uid: u.zone for u in plan.upstreams}
         ways = {(here, there): round(topology.one_way_ms(here, there) * 1000)
@@ -614,9 +673,9 @@
         if pair.cut_in if to_party else pair.cut_out:
             pair.waiting.append((to_party, what))
             return
-        jitter = self.experiment.topology.jitter
-        due = self.clock.now_us + int(pair.way_us * (1 + jitter * (2 * self.rng.random() - 1)))
-        if pair.loss and self.rng.random() < pair.loss:
+        jitter, rng = self.experiment.topology.jitter, self.list_rng if party == DIRECTORY else self.rng
+        due = self.clock.now_us + int(pair.way_us * (1 + jitter * (2 * rng.random() - 1)))
+        if pair.loss and rng.random() < pair.loss:
             due += RETRANSMIT_US
         self.clock.at(due, what)  # type: ignore[arg-type]
 
@@ -648,9 +707,22 @@
             self.listed[step.uid] = step
         spread = self.experiment.directory.spread_ms * 1000
         for name, sidecar in self.sidecars.items():
+            if not sidecar.watching:
+                continue
             after = int(draw.uniform(self.plan.seed, "spread", name, step.uid, step.at_us) * spread)
             self.clock.at(self.clock.now_us + after, self.tell, sidecar, step)
 
+    def called(self, sidecar: Sidecar, life: int, call: int) -> None:
+        """A call has reached the list, which answers one after another, with what it has to say by then."""
+        now, it = self.clock.now_us, self.experiment.directory
+        self.write(Listed(now, sidecar.name, "watch"))
+        takes_us = int(it.call_ms * 1000)
+        taken = self.list_free_us - now <= it.calls_waiting * takes_us
+        if taken:
+            self.list_free_us = max(now, self.list_free_us) + takes_us
+        self.clock.at(self.list_free_us if taken else now, self.carry, DIRECTORY, sidecar.name, False,
+                      partial(sidecar.list_answered, life, call, taken))
+
     def tell(self, sidecar: Sidecar, step: ListStep) -> None:
         if sidecar.up:
             life = sidecar.life
@@ -674,4 +746,5 @@
         connect_timeout_us=DIAL_TIMEOUT_US, cancel=True, second_copies=experiment.sidecars.second_copies,
         cold_share=min(0.13, u.cold_share), warm_up_us=int(u.warm_up_s * 1e6), overload_factor=u.overload_factor,
         fall_us=int(u.fall_s * 1e6), cross_zone_fee=0.022, weighted=True,
+        list_on_request=experiment.directory.mode == "on_request", ask_within_us=ASK_WITHIN_US,
         **{name: value for name, value in later.items() if name in known})
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 
 from garnetusher.model import baselines, checker, figures, plan
 from garnetusher.model.clock import Clock, Stall
 from garnetusher.model.experiment import scaled
+from garnetusher.model.records import Listed
 from garnetusher.model.world import World
 from glenkeel.balance import Balancer
 from tests.experiment import ROOT, small, text
@@ -93,3 +95,18 @@
     clock.at(5, again)
     with pytest.raises(Stall, match="stands still at 0.000005 s.*again"):
         clock.run(10)
+
+
+def test_calls_to_the_list_wait_their_turn_and_are_turned_away_beyond_a_queue() -> None:
+    it = small(seconds=4, more='[[fault]]\nat_s = 1\nfor_s = 0.5\nwhat = "kill"\nwhere = { of = "sidecars" }')
+    counts = {}
+    for mode, call_ms, waiting in (("pushed", 0, 22), ("on_request", 40, 22), ("pushed", 400, 1)):
+        listed = structs.replace(it.directory, mode=mode, call_ms=call_ms, calls_waiting=waiting)
+        busy = scaled(structs.replace(it, directory=listed), 10, alone=True)
+        made = plan.make(busy, 1)
+        lines = World(busy, made).run()
+        assert checker.check(busy, made, lines) == []
+        counts[mode, call_ms] = sum(isinstance(r, Listed) for r in lines)
+    assert counts["pushed", 0] == 20  # a call of each process
+    # the module spreads its own calls over seconds; a watch that is kept calls again whenever it is turned away
+    assert 10 <= counts["on_request", 40] <= 20 and counts["pushed", 400] > 40
