Try again elsewhere once a zone is quiet: a light sidecar never heard that others answer

Cause: all three attempts of a request stay in the nearest tier while it has free slots (Balancer.draw_slot); a sidecar of one request a second so hears of no other zone, and Zones.compare, which rightly asks that another has answered meanwhile, leaves nothing until slots close one by one. Change: a reissue or a copy looks first outside zones where its attempts were missed and that have answered nothing for 0.3 s (Zones.quiet). The new test fails without it.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -366,6 +366,14 @@
             found = self.draw_slot(request, shut | doubted)
             if found is not None:
                 return found
+        missed = {number for number in {attempt.entry.zone for attempt in request.attempts}
+                  if self.zones.quiet(number, self.now_us)}
+        if missed:
+            # hazard: to a light sidecar all tries of a request fail in a lost zone, and it never hears that
+            # others answer; what a try elsewhere shows is what the zone is weighed against
+            found = self.draw_slot(request, shut | missed)
+            if found is not None:
+                return found
         return self.draw_slot(request, shut)
 
     def draw_slot(self, request: Request, shut: set[int]) -> Server | None:
--- a/glenkeel/zones.py
+++ b/glenkeel/zones.py
@@ -200,6 +200,11 @@
         elif zone.state is State.NEAR and 2 * len(zone.suspects) >= zone.needed() and zone.evidence >= DOUBT and heard:
             self.move(zone, State.DOUBTED, seen)
 
+    def quiet(self, number: int, now_us: int) -> bool:
+        """Whether attempts there have been missed, and none was answered for a while."""
+        zone = self.of(number)
+        return bool(zone.suspects) and now_us - zone.answer_us >= QUIET_US
+
     # Leaving and returning
 
     def leave(self, zone: Zone, why: str) -> None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -13,7 +13,7 @@
 from garnetusher.model.records import Believed
 from garnetusher.model.world import World
 from glenkeel import interface as api
-from glenkeel.zones import State, Zone, Zones
+from glenkeel.zones import QUIET_US, State, Zone, Zones
 from tests.experiment import ROOT
 from tests.net import OK, Upstream, answering, request, sidecar
 from tests.test_sidecar import run
@@ -178,6 +178,21 @@
         assert bool(crossed) == suspect and all(send.upstream in (102, 103) for send in crossed)
 
 
+@pytest.mark.parametrize("answers", [False, True])
+def test_a_light_sidecar_tries_again_elsewhere_once_its_zone_is_quiet(answers: bool) -> None:
+    stand = Stand(settings(cross_zone_fee=0.02, max_attempts=3))
+    stand.tell_list(upstreams(6))
+    stand.advance(QUIET_US)
+    ident, ended = stand.arrive(0), 0
+    while len(stand.sends(ident)) > ended:  # all that is tried here is refused
+        if answers:
+            stand.balancer.zones.answered(0, stand.now_us, 1.0, stand.now_us)
+        near = stand.sends(ident)[ended].upstream < 102
+        stand.end(ident, ended, api.Outcome.CONNECT_FAILED if near else api.Outcome.OK)
+        ended += 1
+    assert ended == (3 if answers else 2) and (stand.sends(ident)[-1].upstream < 102) == answers
+
+
 def test_two_lost_zones_are_left_and_the_third_is_not() -> None:
     moves, found = left("two-zones")
     assert set(moves) == {"pacheco", "ezeiza"} and found["false_leaves"] == 0
