Take back resting halves of a stuck pool: an overload without choked upstreams pays for it

Cause: what tells a stuck pool (the least admitted for 2 s) also holds at part of the sidecars in a plain overload; they rest halves that are well. Ruled out: a stricter sign (at the floor for 3 s), which too few sidecars would share, and an upstream that two in five go on sending to does not get idle enough to come back. Change: reverted, policy, node and tests. What is wanted next: a sign of choking that a plain overload does not give, as a trial on a few upstreams would.

--- a/garnetusher/model/ablations.py
+++ b/garnetusher/model/ablations.py
@@ -9,7 +9,6 @@
 try:
     from glenkeel import balance, zones
     from glenkeel.balance import Balancer
-    from glenkeel.slots import Pool
     from glenkeel.zones import State, Zone, Zones
     HAS_ZONES = True
 except ImportError:  # the module of an earlier tree, which lacks some of these parts
@@ -68,13 +67,7 @@
     Balancer.stays = lambda self, request: False  # type: ignore[method-assign]
 
 
-def _rests() -> None:
-    """No part of a stuck pool rests."""
-    Pool.resting = lambda self, now_us: -1  # type: ignore[method-assign]
-
-
-PARTS = (_leaving, _lateness, _slowness, _doubt, _steps, _coldness, _waits, _elsewhere, _near,
-         _rests) if HAS_ZONES else ()
+PARTS = (_leaving, _lateness, _slowness, _doubt, _steps, _coldness, _waits, _elsewhere, _near) if HAS_ZONES else ()
 ABLATIONS = {part.__name__[1:]: part for part in PARTS}
 
 
@@ -86,7 +79,7 @@
         return
     touched: list[tuple[Any, tuple[str, ...]]] = [
         (zones, ("SLOW_TIMES", "STEPS", "LONGEST_WAIT_US")), (balance, ("ROOM",)), (Balancer, ("stays",)),
-        (Pool, ("resting",)), (Zones, ("compare", "overdue", "doubted", "move", "quiet"))]
+        (Zones, ("compare", "overdue", "doubted", "move", "quiet"))]
     kept = [(where, name, getattr(where, name)) for where, names in touched for name in names]
     try:
         for name in names:
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -13,7 +13,6 @@
 from functools import partial
 from typing import Any
 
-import xxhash
 from msgspec import structs
 
 from garnetusher.model import baselines, beliefs, draw
@@ -56,7 +55,6 @@
 ANSWER_MARGIN_US = 10_000  # an answer sets out so long before its client's time is out
 LOCAL_US = 60  # between a client and its sidecar
 ASK_WITHIN_US = 10_000_000  # as the settings of a sidecar say
-KEYED = "key" in {known.name for known in dataclasses.fields(api.Upstream)}  # not so in an earlier tree's module
 LIST_ANSWER_US = 2_500_000  # a call to the list that has not been answered has failed (plovertrail/discovery.py)
 LIST_AGAIN_US = 250_000  # till the next, where the module does not ask by itself
 START_S = 0.3  # from the start of a sidecar's process until it is ready
@@ -590,8 +588,7 @@
                  "left": api.UpstreamState.GONE}[step.state]
         started = 0 if step.started_us == LONG_AGO else EPOCH_US + step.started_us
         return self.world.entries.setdefault(
-            key, api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started, **(
-                {"key": xxhash.xxh32_intdigest(step.uid.encode())} if KEYED else {})))
+            key, api.Upstream(self.idents[step.uid], state, zones.index(step.zone), started_us=started))
 
     def call_list(self) -> None:
         """Ask for the list and its changes from now on, in place of an earlier call."""
--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -32,6 +32,7 @@
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 FEWEST_ANSWERS = 8.0  # slow ones that cut what is admitted to a tenth
 RETRY_ADMITTED = 0.9  # share admitted under which clients that come again yield; one slow answer takes less
+LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
@@ -318,7 +319,8 @@
             # hazard: a light sidecar has an answer a second or two; one that is slow must not cut it short
             fewest = 1.0 if load < FULL_LOAD else FEWEST_ANSWERS
             gain = ADMIT_GAIN / max(fewest, pool.rate) if load < FULL_LOAD or pool.load > 0.5 else 0.0
-            pool.admit(pool.admitted * max(0.3, 1.0 + gain * (FULL_LOAD - load)), self.now_us)
+            pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
+            pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         step = GROWTH * (FULL_LOAD - load) / max(server.window, 1.0)
         server.faults = server.faults + 1 if outcome in INSTANT_FAULTS else 0
@@ -398,9 +400,8 @@
     def pick(self, request: Request, pool: Pool, shut: set[int], used: bool | None,
              cold: bool | None = None) -> Server | None:
         """A random upstream with a slot free for it, rather one that has not had it."""
-        resting = pool.resting(self.now_us)
         if not request.attempts:
-            return pool.pick(self.random, shut, used, cold, resting)
+            return pool.pick(self.random, shut, used, cold)
         mates = self.mates(request)
         tried = pool.without(attempt.server for attempt in request.attempts)
         for again in (False, True):
@@ -408,7 +409,7 @@
                 for server in tried:
                     pool.weigh(server, self.now_us)
             if mates is None:
-                found = pool.pick(self.random, shut, used, cold, resting)
+                found = pool.pick(self.random, shut, used, cold)
             else:  # hazard: a walk; but of keyed requests that may have run there are few
                 some = [s for _, bucket in pool.free(shut, used, cold) for s in bucket if mates(s.entry)]
                 found = self.random.choices(some, [s.weight for s in some])[0] if some else None
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -120,7 +120,6 @@
     report_names: list[str] = field(default_factory=list)
     weighted: bool = False  # the list's weights speak of size
     regions: list[int] = field(default_factory=list)  # of each zone; a zone that is not in it is in region 0
-    unix_us: int = 0  # Unix time when the module's clock says 0: what all sidecars do at the same times goes by it
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
@@ -155,7 +154,6 @@
     cell: int = 0
     weight: float = 1.0
     started_us: int = 0  # its most recent start; 0 = long ago
-    key: int = 0  # what every sidecar knows it by; 0: its id is
 
 
 # Events
--- a/glenkeel/slots.py
+++ b/glenkeel/slots.py
@@ -16,18 +16,10 @@
 
 from glenkeel import interface as api
 
-TURNS = 2  # parts of a stuck pool's upstreams that rest in turn
-TURN_US = 5_000_000  # by the clock that all share; choked ones come back after 2.6 to 4.5 s of next to no work
-STUCK_US = 2_000_000  # at the least that is let in: queues alone are gone by then
-STUCK_FOR_US = 40_000_000  # after which resting has shown no use
-LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
-FREED_ADMITTED = 0.5  # of the draws: it is not stuck any more
-FEWEST_TURNS = 8  # upstreams of a pool under which none rests: a half would be too uneven
 FIRST_SLOTS = 3.0  # a busy sidecar would fill one each in its first moment, and refuse till more open
 COLD_PART = 0.45  # of the multiple that pushes a cold upstream over: its work comes in lumps
 COHORTS = 64  # in the time of a warm-up: what starts within one counts as started at its end
 COUNT_US = 10_000  # between counts of what is warm: in a warm-up of seconds a part moves by under one in a hundred
-MOST_PICKS = 64  # looks for one: three of four in vain, none is found in one draw of a hundred million
 WARMED_AT_ONCE = 256  # upstreams that an event takes for warm at the most, so that none is held up
 
 
@@ -35,13 +27,12 @@
     """What this sidecar knows of one upstream."""
 
     __slots__ = ("bucket", "cohort", "due", "due_at", "entry", "faults", "in_use", "key", "listed", "pace", "part",
-                 "place", "pool", "rest_until_us", "rests", "started_us", "turn", "used", "weight", "window")
+                 "place", "pool", "rest_until_us", "rests", "started_us", "used", "weight", "window")
 
     def __init__(self, entry: api.Upstream, pool: Pool) -> None:
         self.entry = entry
         self.started_us = entry.started_us  # as listed, or as its zone's return tells
         self.pool = pool
-        self.turn = (entry.key or entry.id) % TURNS  # with which part of the upstreams it rests
         self.used = 0  # slots taken by this sidecar's sends
         self.window = FIRST_SLOTS  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
@@ -94,7 +85,6 @@
         self.arrival_us = now_us  # of the last request
         self.pace = 1.0  # of its answers, smoothed: far away they take longer
         self.short_us = 0  # when a request last found no free slot here
-        self.stuck_us = 0  # since when next to nothing is admitted, and answers stay slow; 0: it is not so
         self.size = 0
         self.whole = 1.0  # each by its part, as counted last
         self.count_us = 0  # when to count them again
@@ -195,25 +185,6 @@
                 self.warm(server)
                 self.weigh(server, now_us)
 
-    # Choked upstreams
-
-    def admit(self, admitted: float, now_us: int) -> None:
-        """From now on this part of the draws may take a slot."""
-        self.admitted = min(1.0, max(admitted, LEAST_ADMITTED))
-        stuck = self.stuck_us > 0 and now_us - self.stuck_us >= STUCK_US
-        if self.admitted > (FREED_ADMITTED if stuck else 2 * LEAST_ADMITTED):
-            self.stuck_us = 0
-        elif not self.stuck_us:
-            self.stuck_us = now_us
-
-    def resting(self, now_us: int) -> int:
-        """Which part of the upstreams takes no new work now, so that those which were crowded for too long come back
-        (the operators' page: mostly idle for some seconds, or else slow for half a minute); -1: none. All sidecars
-        see the same clock and keys, so they leave the same ones alone, and tell each other nothing."""
-        if not self.stuck_us or self.size < FEWEST_TURNS or not STUCK_US <= now_us - self.stuck_us < STUCK_FOR_US:
-            return -1
-        return (now_us + self.settings.unix_us) // TURN_US % TURNS
-
     # Free slots
 
     def open_slots(self, server: Server, now_us: int) -> int:
@@ -271,20 +242,18 @@
         return [(math.ldexp(1.0, exponent), bucket) for (at, in_use, is_cold, exponent), bucket in self.buckets.items()
                 if at not in shut and (used is None or in_use == used) and (cold is None or is_cold == cold)]
 
-    def pick(self, rng: random.Random, shut: Container[int], used: bool | None, cold: bool | None,
-             resting: int = -1) -> Server | None:
-        """A random one of them, by weight; None if there is none, or only such as rest."""
+    def pick(self, rng: random.Random, shut: Container[int], used: bool | None, cold: bool | None) -> Server | None:
+        """A random one of them, by weight; None if there is none."""
         buckets = self.free(shut, used, cold)
         whole = sum(size * len(bucket) for size, bucket in buckets)
-        for _ in range(MOST_PICKS if buckets else 0):
+        while buckets:
             place = rng.random() * whole
             for size, bucket in buckets:
                 if place < size * len(bucket):
                     number = int(place / size)
-                    found = bucket[number]
-                    if place - number * size < found.weight and (found.cohort or found.turn != resting):
-                        return found
-                    break  # once in two times, at the most, or with half of them at rest in three of four
+                    if place - number * size < bucket[number].weight:
+                        return bucket[number]
+                    break  # once in two times, at the most
                 place -= size * len(bucket)
         return None
 
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -4,7 +4,6 @@
 
 import json
 import socket
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -141,7 +140,6 @@
     pairs = flatten(settings)
     admin = admin or raw.get("admin")
     values = wire.settings_from_pairs(pairs)
-    values.unix_us = (time.time_ns() - time.monotonic_ns()) // 1000  # the module's clock is host.clock_us
     values.regions = regions_of(list(settings["areas"]), raw.get("fleet"))
     return Config(
         listen=parse_address(raw["listen"]),
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -6,7 +6,6 @@
 import json
 import logging
 import time
-import zlib
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -84,7 +83,6 @@
             cell=int(line["pod_group"]),
             weight=float(line["capacity_hint"]),
             started_us=boot_ms * 1000 + self.to_clock_us if boot_ms else 0,
-            key=zlib.crc32(uid.encode()),
         ), parse_address(line["endpoint"])
 
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 from collections import Counter
-from random import Random
 
 import pytest
 
@@ -26,7 +25,7 @@
     UpstreamState,
     places_before,
 )
-from glenkeel.slots import FEWEST_TURNS, FIRST_SLOTS, STUCK_FOR_US, STUCK_US, TURN_US, Pool, Server
+from glenkeel.slots import FIRST_SLOTS
 from tests.world import START_US, World, settings, upstreams
 
 READ, PAY, MARK = 0, 1, 2
@@ -852,39 +851,3 @@
     churn(world, 20)
     churn(world, 1, took_us=250_000)
     assert world.sends(world.arrive(READ, retried=True))
-
-
-def test_halves_of_a_stuck_pool_rest_in_turn_at_the_same_times_everywhere() -> None:
-    chosen: list[list[set[int]]] = []
-    for skew_us in (0, 1_234_567):  # two sidecars whose own clocks differ
-        pool = Pool(settings(unix_us=skew_us), 0)
-        for ident in range(20):  # who knows them by other numbers, and all by the same keys
-            number = ident if skew_us else 19 - ident
-            pool.add(Server(Upstream(100 + number, key=7 * ident + 1), pool), 0, 1.0)
-        begin = 10 * TURN_US
-        pool.admit(0.0, begin - STUCK_US - skew_us)
-        turns = []
-        for turn in range(4):
-            now = begin + turn * TURN_US - skew_us + 1
-            picked = [pool.pick(Random(n), (), None, None, pool.resting(now)) for n in range(300)]
-            turns.append({server.entry.key for server in picked if server is not None})
-        assert turns[0] | turns[1] == {7 * ident + 1 for ident in range(20)} and not turns[0] & turns[1]
-        assert turns[2:] == turns[:2]
-        assert pool.resting(begin + STUCK_FOR_US) == -1  # it has shown no use
-        pool.admit(0.4, begin)
-        assert pool.resting(begin + 1 - skew_us) >= 0
-        pool.admit(0.6, begin)
-        assert pool.resting(begin + 1 - skew_us) == -1
-        chosen.append(turns)
-    assert chosen[0] == chosen[1]
-
-
-def test_no_part_rests_in_a_small_pool_or_for_a_moment_at_the_least() -> None:
-    for count, still_us in ((FEWEST_TURNS - 1, STUCK_US), (FEWEST_TURNS, STUCK_US - 1)):
-        pool = Pool(settings(), 0)
-        for ident in range(count):
-            pool.add(Server(Upstream(ident), pool), 0, 1.0)
-        pool.admit(0.0, 1)
-        assert pool.resting(1 + still_us) == -1
-        pool.admit(0.3, 2)  # more again before it counts as stuck
-        assert pool.stuck_us == 0
