--- a/garnetusher/lab/clients.py
+++ b/garnetusher/lab/clients.py
@@ -171,9 +171,10 @@
         it.until_us = now + wait_us
         safe = kind.effect == "idempotent"
         tenant = f"X-Tenant: {self.experiment.tenants[it.tenant].name}\r\n" if self.experiment.tenants else ""
+        again = "X-Retry: 1\r\n" if it.number and self.experiment.clients.marks else ""
         head = (f"{'GET' if safe else 'POST'} /{kind.name}/it HTTP/1.1\r\nHost: api.internal\r\n"
                 f"X-Request-Id: {it.ident}\r\nX-Class: {kind.name}\r\n{tenant}X-Deadline-Ms: {wait_ms}\r\n"
-                + ("X-Retry: 1\r\n" if it.number else "") + ("" if safe else "Content-Length: 2\r\n") + "\r\n"
+                + again + ("" if safe else "Content-Length: 2\r\n") + "\r\n"
                 + ("" if safe else "{}"))
         line.carry(it, head.encode())
         self.clock.write(Asked(now, it.ident, it.request, self.sidecar.name, it.cls, it.tenant, it.first_us,
--- a/garnetusher/lab/sidecars.py
+++ b/garnetusher/lab/sidecars.py
@@ -83,7 +83,7 @@
         "bounds": {"cancel": True, "conn-idle": int(u.idle_s * 1e6), "dial-timeout": 200_000, "max-open": 20_000,
                    "max-retry-after": 2_000_000, "most-tries": s.max_attempts, "multiplex": 1, "peers": False,
                    "probes": True, "retry-after": True, "second-copies": s.second_copies},
-        "client-habits": {"marks-retry": True}, "fees": {"cross-zone": 0.022}, "granularity": 1000,
+        "client-habits": {"marks-retry": experiment.clients.marks}, "fees": {"cross-zone": 0.022}, "granularity": 1000,
         "instances": len(plan.sidecars), "self-index": plan.sidecars.index(sidecar),
         "invariants": {"answer-slack": 20_000, "ask-within": 10_000_000, "cold-share": min(0.13, u.cold_share),
                        "drain-grace": 1_000_000, "fall": int(u.fall_s * 1e6), "overload-factor": u.overload_factor,
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -112,6 +112,7 @@
     backoff_ms: NotNegative = 60.0
     honour: Share = 0.6  # of them wait as `Retry-After` says
     try_share: Annotated[float, Meta(gt=0, le=1)] = 0.8  # of the deadline, after which a try is given up
+    marks: bool = True  # a try that comes again says so
     impatient: Share = 0.002  # of them leave before their time
 
 
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -371,7 +371,7 @@
             request = _Open(self.last, it, it.until_us - ANSWER_MARGIN_US)
             self.open[request.ident] = request
             self.tell(api.RequestArrived(request.ident, EPOCH_US + request.due_us, it.cls, it.tenant,
-                                         retried=it.number > 0))
+                                         retried=it.number > 0 and self.world.experiment.clients.marks))
 
     def time_out(self, it: _Try) -> None:
         if not it.over:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from garnetusher.membership import core, count
 from garnetusher.membership.core import Datagram, Leave, Member, SendTo, Wake
 from garnetusher.membership.messages import MOST_BYTES, NO_TAG, Ack, Codec, Entry, Ping, keys_of
+from garnetusher.membership.shell import Shell
 from garnetusher.membership.view import State
 from garnetusher.model import explore
 from garnetusher.model.explore.membership import Membership
@@ -202,3 +204,31 @@
         now = max(now, member.next_us)
         member.handle(now, Wake())
     assert member.phase == "stopped"
+
+
+def test_members_on_real_sockets_find_each_other_and_say_goodbye() -> None:
+    async def test() -> None:
+        shells: list[Shell] = []
+        told: list[core.Action] = []
+        seeds: list[tuple[str, int]] = []
+
+        def member(number: int) -> Callable[[tuple[str, int], int], Member]:
+            return lambda address, now_us: Member(
+                core.Settings(f"p{number}", "sidecar", "z", *address, seeds=list(seeds)), Codec("test"), 1, number,
+                now_us)
+
+        for number in range(4):
+            shells.append(Shell(member(number), told.append))
+            seeds.append(await shells[-1].open("127.0.0.1", 0))
+        async with asyncio.timeout(20):
+            while any(s.member is None or s.member.view.present < 4 for s in shells):
+                await asyncio.sleep(0.02)
+            await shells[3].leave()
+            first = shells[0].member
+            while first is None or first.view.entries["p3"].state != State.LEFT:
+                await asyncio.sleep(0.02)
+        assert core.Stopped("left") in told
+        for shell in shells:
+            shell.close()
+
+    asyncio.run(test())
