Tell the decisions how many share what the fleet may do; play it, and membership's cost, in virtual time

'model members': joins, a kill, a split and calm by the size of the fleet. Not taken: owners of tries by rendezvous hashing: with the true number each upstream gets two tries a second on the mean, and hashes of 1,000 members for each upstream of a zone each second cost more than the tries; to be looked at with the sidecar's switch.

--- a/garnetusher/cli/virtual.py
+++ b/garnetusher/cli/virtual.py
@@ -17,6 +17,7 @@
 from garnetusher.cli import curves as growing
 from garnetusher.cli import explore as explorer
 from garnetusher.cli import fidelity as faithful
+from garnetusher.cli import presence as presences
 from garnetusher.cli import trees
 from garnetusher.cli.plays import play, span
 from garnetusher.model import baselines as policies
@@ -206,6 +207,29 @@
         cli.say("\n".join([growing.table(points), "", *(f"plot: {path}" for path in paths)]))
 
 
+@app.command(epilog="Example: garnetusher model members --size 10 --size 1000 --loss 0.1 --starved 0.1")
+def members(size: Annotated[list[int] | None, typer.Option(min=2, help="Members of a fleet.")] = None,
+            loss: Annotated[float, typer.Option(min=0, max=1, help="Part of the datagrams that are lost.")] = 0.0,
+            starved: Annotated[float, typer.Option(min=0, max=1, help="Part whose turns come 0.3 s late.")] = 0.0,
+            seeds: Annotated[str, typer.Option(help="Plays of each, A:B.")] = "1:2",
+            out: Annotated[Path, typer.Option(help="Where the plot goes.")] = Path("found/members.svg"),
+            json: Annotated[bool, typer.Option("--json", help="One JSON document on standard output.")] = False
+            ) -> None:
+    """Membership by the size of the fleet: joins, a kill, a split that heals, and what it costs in calm."""
+    try:
+        numbers = span(seeds)
+    except ValueError as error:
+        cli.fail(f"--seeds: {error}")
+    with cli.progress("members") as progress:
+        found = presences.measure(sorted(set(size or presences.SIZES)), loss, starved, numbers, progress)
+    presences.draw(found, out)
+    if json:
+        cli.say_json(found)
+    else:
+        cli.say(f"{presences.table(found)}\n\nplot: {out}")
+    raise typer.Exit(cli.NOT_HELD if any(play.accused for play in found) else cli.HELD)
+
+
 @app.command(epilog="Example: garnetusher model fidelity found/calm-1 found/crash-1")
 def fidelity(folders: Annotated[list[Path], typer.Argument(help="Folders that `lab run` has filled.")],
              library: Annotated[Path, typer.Option(help="Where the experiments' files are.")] = Path("experiments"),
--- a/garnetusher/lab/sidecars.py
+++ b/garnetusher/lab/sidecars.py
@@ -84,7 +84,7 @@
                    "max-retry-after": 2_000_000, "most-tries": s.max_attempts, "multiplex": 1, "peers": False,
                    "probes": True, "retry-after": True, "second-copies": s.second_copies},
         "client-habits": {"marks-retry": experiment.clients.marks}, "fees": {"cross-zone": 0.022}, "granularity": 1000,
-        "instances": len(plan.sidecars), "self-index": plan.sidecars.index(sidecar),
+        "instances": s.told or len(plan.sidecars), "self-index": plan.sidecars.index(sidecar),
         "invariants": {"answer-slack": 20_000, "ask-within": 10_000_000, "cold-share": min(0.13, u.cold_share),
                        "drain-grace": 1_000_000, "fall": int(u.fall_s * 1e6), "overload-factor": u.overload_factor,
                        "warm-up": int(u.warm_up_s * 1e6)},
--- a/garnetusher/model/explore/module.py
+++ b/garnetusher/model/explore/module.py
@@ -30,7 +30,7 @@
     {"arrive": 40, "end": 10, "advance": 30, "sleep": 5, "quit": 5},  # silence, and a process that is starved
     {"arrive": 20, "end": 20, "advance": 5, "list": 20, "restart": 10, "full": 5, "fail": 5, "cached": 2},
     {"arrive": 60, "fault": 40, "advance": 10, "restart": 2},  # all fails
-    {"arrive": 30, "end": 25, "advance": 15, "order": 5, "retune": 5, "whole": 8, "passed": 4, "list": 2},
+    {"arrive": 30, "end": 25, "advance": 15, "order": 5, "retune": 5, "fleet": 4, "whole": 8, "passed": 4, "list": 2},
     {"arrive": 30, "end": 25, "advance": 20, "sleep": 3, "stream": 10, "quit": 5, "fault": 10},
 ]
 BAD = [api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.RESET]
@@ -197,6 +197,9 @@
     def order(self, zone: int, leave: int) -> None:
         self.host.tell(api.ZoneOrdered(zone % self.setup["zones"], bool(leave)))
 
+    def fleet(self, count: int, _: int) -> None:
+        self.host.tell(api.FleetChanged(count % 50))
+
     def retune(self, most: int, _: int) -> None:
         """New settings, classes as they are, with another limit on attempts."""
         settings = self.settings(1 + most % 5)
--- a/garnetusher/model/members.py
+++ b/garnetusher/model/members.py
@@ -46,8 +46,9 @@
 class Members:
     """The whole of it. `changed` is called with whose view changed, at what time, and how."""
 
-    def __init__(self, seed: int, floor: int = 1, loss: float = 0.0, keys: list[bytes] | None = None) -> None:
-        self.clock = Clock()
+    def __init__(self, seed: int, floor: int = 1, loss: float = 0.0, keys: list[bytes] | None = None,
+                 clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
         self.rng = random.Random(seed)
         self.seed, self.floor, self.loss, self.keys = seed, floor, loss, keys or []
         self.nodes: dict[str, Node] = {}
@@ -57,12 +58,11 @@
         self.slow: dict[str, int] = {}  # a starved process: each of its turns comes that much later
         self.changed: Callable[[Node, int, Changed], None] = lambda node, now_us, change: None
         self.clock_skew_us: dict[str, int] = {}  # of the wall clock that boots go by
-        self.keep_us = 0
 
-    def add(self, name: str, zone: str = "z", seeds: list[str] | None = None, port: int = 0) -> Node:
+    def add(self, name: str, zone: str = "z") -> Node:
         """A name that has not run yet; addresses are made up."""
         number = len(self.at)
-        node = Node(name, (f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", port or 7000), zone)
+        node = Node(name, (f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 7000), zone)
         self.nodes[name] = node
         self.at[node.address] = node
         return node
--- a/garnetusher/model/world.py
+++ b/garnetusher/model/world.py
@@ -20,6 +20,7 @@
 from garnetusher.model.clock import Clock
 from garnetusher.model.experiment import Experiment
 from garnetusher.model.link import RETRANSMIT_US
+from garnetusher.model.members import Members, Node
 from garnetusher.model.plan import (
     DIRECTORY,
     LONG_AGO,
@@ -57,6 +58,8 @@
 ASK_WITHIN_US = 10_000_000  # as the settings of a sidecar say
 LIST_ANSWER_US = 2_500_000  # a call to the list that has not been answered has failed (plovertrail/discovery.py)
 LIST_AGAIN_US = 250_000  # till the next, where the module does not ask by itself
+COUNT_US = 250_000  # between two looks of a sidecar at how many there are
+MEMBER_SEEDS = 3  # sidecars whose addresses all members are told
 START_S = 0.3  # from the start of a sidecar's process until it is ready
 
 
@@ -279,6 +282,7 @@
         self.watching = False
         self.calls = self.list_known = 0  # of this process; and the last one that was answered
         self.life = self.starts
+        self.counted = 0  # of the fleet, as last told to the decisions
         self.open: dict[int, _Open] = {}
         self.last = 0
         self.idle: dict[str, list[_Line]] = {}
@@ -292,6 +296,7 @@
         self.tell(api.TimerFired(0))
         if not self.settings.list_on_request:
             self.call_list()
+        world.member_starts(self)
 
     def befall(self, step: Step) -> None:
         now = self.world.clock.now_us
@@ -311,9 +316,11 @@
         elif step.what == "stop":
             self.world.write(Process(now, self.name, "stopped"))
             self.held_back = []
+            self.world.member_stops(self, True)
         elif step.what == "cont":
             self.world.write(Process(now, self.name, "continued"))
             late, self.held_back = self.held_back or [], None
+            self.world.member_stops(self, False)
             for what, args in late:
                 what(*args)  # type: ignore[operator]
 
@@ -321,6 +328,7 @@
         """The process is gone, its connections with it; the upstreams see them close."""
         self.up = self.asking = False
         self.life = 0
+        self.world.member_ends(self)
         for request in list(self.open.values()):
             if not request.over and not request.it.over:
                 request.it.over = True
@@ -573,6 +581,16 @@
         self.tell(api.AttemptEnded(request.ident, flight.number, flight.upstream, outcome,
                                    self.world.clock.now_us - flight.sent_us, request.over))
 
+    def count(self) -> None:
+        """What this process's member makes of the fleet by now."""
+        node = self.world.members.nodes[self.name] if self.world.members is not None else None
+        if node is None or not self.awake(self.count) or node.member is None or node.member.phase != "present":
+            return
+        instances = self.world.members.share(node).instances  # type: ignore[union-attr]
+        if instances != self.counted:
+            self.counted = instances
+            self.tell(api.FleetChanged(instances))
+
     # The list
 
     def entry(self, step: ListStep) -> api.Upstream:
@@ -648,6 +666,12 @@
                             else ways[homes[name], zones[party]])
         self.entries: dict[tuple[int, str, str, int], api.Upstream] = {}  # shared by all sidecars that know it so
         self.listed = {u.uid: ListStep(0, u.uid, u.zone, "active") for u in plan.upstreams if u.from_us == 0}
+        self.members = Members(plan.seed, clock=self.clock) if experiment.sidecars.membership else None
+        if self.members is not None:
+            for planned in plan.sidecars:
+                self.members.add(planned.name, planned.zone)
+            self.members.cut = self.apart
+            self.clock.at(COUNT_US, self.count)
         self.machines: dict[str, _Machinery] = {}
         self.sidecars: dict[str, Sidecar] = {}
         self.machines = {u.uid: _Machinery(self, u) for u in plan.upstreams}
@@ -664,6 +688,32 @@
         self.records.sort(key=lambda record: record.t)
         return self.records
 
+    # The members, where the experiment has them
+
+    def member_starts(self, sidecar: Sidecar) -> None:
+        if self.members is not None:
+            seeds = [self.members.nodes[s.name] for s in self.plan.sidecars[:MEMBER_SEEDS]]
+            self.members.start(self.members.nodes[sidecar.name], seeds)
+
+    def member_ends(self, sidecar: Sidecar) -> None:
+        if self.members is not None:
+            self.members.kill(self.members.nodes[sidecar.name])
+
+    def member_stops(self, sidecar: Sidecar, stops: bool) -> None:
+        if self.members is not None:
+            (self.members.stop if stops else self.members.go_on)(self.members.nodes[sidecar.name])
+
+    def apart(self, a: Node, b: Node) -> bool:
+        """A sidecar that is cut off from all that it talks to is cut off from the others, too."""
+        return any(self.pairs[DIRECTORY, node.name].cut_in and self.pairs[DIRECTORY, node.name].cut_out
+                   for node in (a, b))
+
+    def count(self) -> None:
+        for sidecar in self.sidecars.values():
+            if sidecar.up:
+                sidecar.count()
+        self.clock.at(self.clock.now_us + COUNT_US, self.count)
+
     def write(self, record: AnyRecord) -> None:
         self.records.append(record)
 
@@ -740,7 +790,7 @@
         classes=[api.RequestClass(c.name, int(c.aim_ms * 1000), int(c.deadline_ms * 1000), c.worth, effect=c.effect)
                  for c in experiment.classes],
         tenants=[api.Tenant(t.name, t.share * experiment.load.requests_per_s, t.share) for t in experiment.tenants],
-        over_share_worth=experiment.over_share_worth, instances=len(plan.sidecars),
+        over_share_worth=experiment.over_share_worth, instances=experiment.sidecars.told or len(plan.sidecars),
         self_index=plan.sidecars.index(sidecar), zone=zones.index(sidecar.zone),
         max_attempts=experiment.sidecars.max_attempts, max_retry_after_us=2_000_000,
         connect_timeout_us=DIAL_TIMEOUT_US, cancel=True, second_copies=experiment.sidecars.second_copies,
--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -146,6 +146,8 @@
             self.on_settings(event)
         elif isinstance(event, api.ZoneOrdered):
             self.zones.order(event.zone, event.leave, now_us)
+        elif isinstance(event, api.FleetChanged):
+            self.zones.counted = max(0, event.instances)
         while self.zones_left:
             self.leave_zone(self.zones_left.pop())
         self.fill_from_buffer()
@@ -239,7 +241,7 @@
         arrivals alone would push it over; so they count for no more than a part of the allowance."""
         opened = 0.1 * pool.admitted
         if pool.cohorts and pool.all_cold():
-            allowed_per_s = self.allowed_per_s / self.settings.instances
+            allowed_per_s = self.allowed_per_s / self.zones.instances
             passed_s = (self.now_us - pool.arrival_us) / 1_000_000
             opened = max(opened, min(COLD_ARRIVAL, COLD_ALLOWANCE * allowed_per_s * passed_s))
         return opened
@@ -658,7 +660,7 @@
         a time that grows with the fleet and doubles with each failure. Rule 3: it stays inside ask-within,
         which is four times as long after a failed call."""
         longest_us = self.settings.ask_within_us * (FIRST_ASK_PART if self.list_failures < 2 else 2)
-        spread_us = CALL_GAP_US * self.settings.instances * 2 ** min(max(0, self.list_failures - 1), 20)
+        spread_us = CALL_GAP_US * self.zones.instances * 2 ** min(max(0, self.list_failures - 1), 20)
         return int(min(spread_us, longest_us) * self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -248,6 +248,13 @@
     leave: bool
 
 
+@dataclass(slots=True)
+class FleetChanged:
+    """How many share by now what the fleet may do, which goes before the settings' number; 0: as the settings say."""
+
+    instances: int
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -260,7 +267,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestWhole | BodyPassed | RequestGone | AttemptEnded
-         | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | TimerFired | PeerMessage)
+         | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | FleetChanged | TimerFired | PeerMessage)
 
 
 # Actions
--- a/glenkeel/zones.py
+++ b/glenkeel/zones.py
@@ -95,6 +95,7 @@
     def __init__(self, settings: api.Settings, seed: int, now_us: int,
                  changed: Callable[[Zone, State], None]) -> None:
         self.settings = settings
+        self.counted = 0  # of the fleet, as its members count each other; 0: nobody does
         self.random = random.Random(seed)  # of its own: what is drawn here must not change other draws
         self.changed = changed
         self.now_us = now_us
@@ -102,6 +103,11 @@
         self.all_used, self.any_doubted = True, False
         self.late_part = LATE_PART
 
+    @property
+    def instances(self) -> int:
+        """How many share what the fleet may do."""
+        return self.counted or self.settings.instances
+
     def of(self, number: int) -> Zone:
         if number not in self.zones:
             self.zones[number] = Zone(number, self.now_us)
@@ -223,7 +229,7 @@
     def gap_us(self, zone: Zone) -> int:
         """Between this sidecar's tries, so that all sidecars together try each upstream a few times a second."""
         each = max(1, zone.upstreams) * TRIES_EACH_A_SECOND
-        return max(SHORTEST_GAP_US, int(1_000_000 * self.settings.instances / each))
+        return max(SHORTEST_GAP_US, int(1_000_000 * self.instances / each))
 
     def move(self, zone: Zone, state: State, why: str) -> None:
         before, zone.state, zone.why, zone.changed_us = zone.state, state, why, self.now_us
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,15 +9,20 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
 from garnetusher.membership import core, count
 from garnetusher.membership.core import Datagram, Leave, Member, SendTo, Wake
 from garnetusher.membership.messages import MOST_BYTES, NO_TAG, Ack, Codec, Entry, Ping, keys_of
 from garnetusher.membership.shell import Shell
 from garnetusher.membership.view import State
-from garnetusher.model import explore
+from garnetusher.model import explore, plan
 from garnetusher.model.explore.membership import Membership
 from garnetusher.model.members import CLUSTER, Members, Node
+from garnetusher.model.world import World
+from glenkeel.balance import Balancer
+from tests.experiment import small
+from tests.world import settings as settings_of
 
 SECOND = 1_000_000
 STEPS = 30
@@ -232,3 +237,21 @@
             shell.close()
 
     asyncio.run(test())
+
+
+def test_what_the_fleet_may_do_is_divided_by_those_who_are_there() -> None:
+    it = small(seconds=8)
+    it = structs.replace(it, sidecars=structs.replace(it.sidecars, per_zone={"a": 3, "b": 2}, told=50, membership=True))
+    world = World(it, plan.make(it, 1))
+
+    def counted() -> list[int]:
+        return [s.balancer.zones.instances for s in world.sidecars.values() if isinstance(s.balancer, Balancer)]
+
+    told = counted()
+    world.run()
+    assert (told, counted()) == ([50] * 5, [5] * 5)
+    zones = Balancer(settings_of(instances=50), 1, 0).zones
+    zones.of(0).upstreams = 2
+    alone = zones.gap_us(zones.of(0))
+    zones.counted = 5
+    assert zones.gap_us(zones.of(0)) == alone / 10
