Switch a member on beside a sidecar; show whom it holds for present; play it on real processes

Change: plovertrail/members.py, imported only where the file has fleet.membership; it tells the decisions FleetChanged and is shown at GET /_members and by 'garnetusher members'. Not taken: msgspec in requirements.txt (2 MB and a build step for everybody who has no members); reading the switch anew at SIGHUP.

--- a/garnetusher/__main__.py
+++ b/garnetusher/__main__.py
@@ -13,6 +13,7 @@
 GROUPS = {"lab": ("garnetusher.lab.commands", "Experiments on real processes, with faults between them."),
           "model": ("garnetusher.cli.virtual", "The same experiments in virtual time, with the real decisions."),
           "zones": ("garnetusher.cli.zones", "What a sidecar believes of each zone; leave one, or return to it."),
+          "members": ("garnetusher.cli.members", "Whom a process holds for present, and whether the others agree."),
           "config": ("garnetusher.cli.files", "Check files without running anything.")}
 
 
--- a/garnetusher/lab/play.py
+++ b/garnetusher/lab/play.py
@@ -144,7 +144,7 @@
 
     async def run(self) -> Played:
         self.progress("building", 0.0)
-        await asyncio.to_thread(sidecars.build, self.tree)
+        await asyncio.to_thread(sidecars.build, self.tree, self.experiment.sidecars.membership)
         self.progress("starting", 0.0)
         await self._start()
         assert self.fleet is not None
--- a/garnetusher/lab/sidecars.py
+++ b/garnetusher/lab/sidecars.py
@@ -53,10 +53,13 @@
         raise LabError(f"{path}: {error}") from None
 
 
-def build(tree: Path) -> None:
-    """What the tree's deploy file says, once for a play."""
+def build(tree: Path, membership: bool = False) -> None:
+    """What the tree's deploy file says, once for a play; and what members need, which is not in it."""
     log.info("lab.tree.builds", tree=str(tree))
-    done = subprocess.run(["/bin/sh", "-c", str(deploy_file(tree)["build"])], cwd=tree, capture_output=True, text=True,
+    command = str(deploy_file(tree)["build"])
+    if membership:
+        command += "; .venv/bin/pip install -q --disable-pip-version-check -r requirements-fleet.txt"
+    done = subprocess.run(["/bin/sh", "-c", command], cwd=tree, capture_output=True, text=True,
                           stdin=subprocess.DEVNULL, check=False, timeout=1200, env=_plain())
     if done.returncode != 0:
         raise LabError(f"{tree}: its build ended with {done.returncode}: {done.stderr.strip()[-500:]}")
@@ -97,6 +100,9 @@
     }
 
 
+MEMBER_SEEDS = 3  # sidecars through which all join
+
+
 class Sidecar:
     """One name, and the process that has it at present."""
 
@@ -104,6 +110,7 @@
         self.fleet, self.plan, self.discovery = fleet, plan, discovery
         self.address = (host, free_port(host))
         self.admin = f"{host}:{free_port(host)}"
+        self.member = f"{host}:{free_port(host)}"  # where its member listens, if it has one
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
         self.expected = False  # its end is the lab's doing
@@ -123,7 +130,7 @@
             "limits": {"cores": 1.0, "memory_mb": fleet.experiment.sidecars.memory_mb,
                        "sockets": fleet.experiment.sidecars.sockets},
             "known": fleet.known(name, at_us), "settings": settings(fleet.experiment, fleet.plan, self.plan),
-            "fleet": {"regions": fleet.experiment.topology.regions}}))
+            "fleet": {"regions": fleet.experiment.topology.regions} | fleet.membership(self)}))
         told = {"BALANCER_NAME": name, "BALANCER_LISTEN": listen, "BALANCER_DISCOVERY": self.discovery,
                 "BALANCER_CONFIG": str(path), "BALANCER_ADMIN": self.admin, "TMPDIR": str(folder / "tmp")}
         with self.log_path.open("ab") as file:
@@ -193,6 +200,13 @@
             entry(uid, zones[uid], self.endpoints[uid][sidecar], state, boots.get(uid, 0))
             for uid, state in states.items() if state != "left"]}
 
+    def membership(self, sidecar: Sidecar) -> dict[str, Any]:
+        """What switches a sidecar's member on, where the experiment wants members."""
+        if not self.experiment.sidecars.membership:
+            return {}
+        seeds = [self.sidecars[plan.name].member for plan in self.plan.sidecars[:MEMBER_SEEDS]]
+        return {"membership": {"cluster": "lab", "listen": sidecar.member, "seeds": seeds}}
+
     async def start(self) -> None:
         """All of them, ready; raises LabError with the last lines of the first that dies or never says yes."""
         for sidecar in self.sidecars.values():
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -98,7 +98,7 @@
     second_copies: bool = True
     spread: NotNegative = 0.8  # of their traffic: the coefficient of variation
     told: Annotated[int, Meta(ge=0, le=10_000)] = 0  # how many each is told that they are, at its start; 0: the truth
-    membership: bool = False  # they count each other; virtual time only, till the sidecar has it
+    membership: bool = False  # they count each other
     policy: Literal["slots", "random", "least", "two", "round_robin"] = "slots"  # virtual time only: baselines.py
 
 
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -10,7 +10,8 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 from glenkeel.wire import WireError
 from plovertrail import config
@@ -21,6 +22,9 @@
 from plovertrail.server import Catalogue, Server
 from plovertrail.upstreams import Pool
 
+if TYPE_CHECKING:
+    from plovertrail.members import Members
+
 log = logging.getLogger(__name__)
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
@@ -58,20 +62,46 @@
     server, lifecycle, discovery = sidecar.server, sidecar.lifecycle, sidecar.discovery
     sidecar.start()
     prepared(sidecar)
+    members = await with_members(sidecar)
     if settings.admin is not None:
-        await Admin(operators_calls(sidecar)).listen(settings.admin)
+        await Admin(operators_calls(sidecar) | ({b"/_members": Route(b"GET", lambda query: (
+            True, json.dumps(members.tell())))} if members is not None else {})).listen(settings.admin)
     if inherited is not None:
         await take_over(discovery, stop)
     lifecycle.start()
     await server.listen(inherited or settings.listen)
     await stop.wait()
     lifecycle.stop()
+    if members is not None:
+        await members.leave()
     await (end_alone(server) if inherited is None else end_beside(server))
     while server.clients and lifecycle.closing_for_s < LONGEST_STOP_S:
         server.close_idle(clock_us())
         await asyncio.sleep(0.01)
 
 
+async def with_members(sidecar: Sidecar) -> Members | None:
+    """The member beside this sidecar, if the file switches it on. Hazard: without it the sidecar serves as it does
+    alone, so whatever is wrong with it must not keep the sidecar from starting."""
+    fleet = sidecar.settings.raw.get("fleet") if isinstance(sidecar.settings.raw, Mapping) else None
+    if not isinstance(fleet, Mapping) or "membership" not in fleet:
+        return None
+    raw, zones, zone = sidecar.settings.raw, sidecar.settings.zones, sidecar.settings.settings.zone
+    try:
+        from plovertrail.members import Members, switch
+
+        members = Members(switch(fleet["membership"], str(raw.get("name", "")), zones[zone]), sidecar.host.count)
+        own = await members.open()
+    except ImportError as error:
+        log.warning("no membership, as %s; pip install -r requirements-fleet.txt brings what it needs", error)
+    except (OSError, ValueError) as error:
+        log.warning("no membership, as %s", error)
+    else:
+        log.info("membership at %s:%d", *own)
+        return members
+    return None
+
+
 async def take_over(discovery: Discovery, stop: asyncio.Event) -> None:
     """Until the list is one to trust. Hazard: what another process knew at its start may be long out of date,
     and clients that are let in before would be sent to upstreams that have gone."""
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -237,6 +237,10 @@
             self._tell(api.ZoneOrdered(zone, leave))
         return objection
 
+    def count(self, instances: int) -> None:
+        """How many share what the fleet may do, as its members count each other; 0: as the settings say."""
+        self._tell(api.FleetChanged(instances))
+
     @property
     def ready(self) -> bool:
         """Whether there is an upstream to send to."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
 # what a part may import of the project; a deeper name goes before its parent's
 ALLOWED = {
     "glenkeel": {"glenkeel"},
+    "plovertrail.members": {"garnetusher.membership", "plovertrail"},  # imported where the file switches it on
     "plovertrail": {"glenkeel", "plovertrail"},
     "garnetusher.config": set(),
     "garnetusher.logs": set(),
