--- a/garnetusher/cli/curves.py
+++ b/garnetusher/cli/curves.py
@@ -39,7 +39,7 @@
               for policy, size in cases for it in [scaled(experiment, size, alone=grow == "sidecars")]}
     plays = [(case, seed) for case in cases for seed in seeds]
     found: dict[tuple[str, int], list[Play]] = {}
-    with ProcessPoolExecutor(max_tasks_per_child=1) as pool:  # a large play's memory goes with its process
+    with ProcessPoolExecutor() as pool:
         for done, ((case, _), played) in enumerate(zip(plays, pool.map(
                 play, [fleets[case] for case, _ in plays], [seed for _, seed in plays]), strict=True)):
             found.setdefault(case, []).append(played)
--- a/garnetusher/cli/presence.py
+++ b/garnetusher/cli/presence.py
@@ -26,7 +26,7 @@
     """A play for each size and seed, the largest first."""
     cases = [(size, seed) for size in sorted(sizes, reverse=True) for seed in seeds]
     found = []
-    with ProcessPoolExecutor(max_tasks_per_child=1) as pool:
+    with ProcessPoolExecutor() as pool:
         for played in pool.map(_play, [size for size, _ in cases], [loss] * len(cases), [starved] * len(cases),
                                [seed for _, seed in cases]):
             found.append(played)
