Give the last answers before SIGKILL may come, and do not end while one is under way

Cause: serve() in plovertrail/__main__.py left its loop after LONGEST_STOP_S whatever was under way. The other side of the same lines: a request that comes whole late on a connection still open keeps a deadline beyond SIGKILL, however short the class's.

Ruled out: connections closed as idle (close_idle passes over those with a request open); the listener closed with connections not yet accepted (those would be new connections, not taken requests); linger cutting slow readers (the requests had hung upstreams, no answer).

Change: Host.end_by gives all that is open and all that comes a time 0.2 s before the soonest SIGKILL; the module is told (DueMoved) and refuses or fails as ever; what has not come whole by then is refused; the process ends only with nothing under way. Tests run the program; all four fail without the change.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -138,6 +138,8 @@
             self.on_stream_started(self.requests[event.request], event)
         elif isinstance(event, api.RequestWhole) and event.request in self.requests:
             self.on_whole(self.requests[event.request], event.due_us)
+        elif isinstance(event, api.DueMoved) and event.request in self.requests:
+            self.on_due_moved(self.requests[event.request], event.due_us)
         elif isinstance(event, api.BodyPassed) and event.request in self.requests:
             self.requests[event.request].passed = True
         elif isinstance(event, api.UpstreamsUpdated):
@@ -196,6 +198,11 @@
                 attempt.sent_us = self.now_us
                 self.take_slot(attempt)
 
+    def on_due_moved(self, request: Request, due_us: int) -> None:
+        request.patience_us = due_us - request.arrived_us
+        if request is self.buffer:
+            self.wake(self.latest_start_us(request), "buffer", request.event.request)
+
     def log(self, text: str) -> bool:
         if self.now_us < self.next_log_us:
             return False  # the change is told later, if it lasts
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -187,6 +187,14 @@
     due_us: int
 
 
+@dataclass(slots=True)
+class DueMoved:
+    """The client of a request that is whole has to be answered by another time; its attempts' ends follow it."""
+
+    request: int
+    due_us: int
+
+
 @dataclass(slots=True)
 class BodyPassed:
     """More of a long body has gone to an upstream than is held: the request can't be sent again."""
@@ -266,7 +274,7 @@
     payload: bytes
 
 
-Event = (UpstreamsUpdated | RequestArrived | RequestWhole | BodyPassed | RequestGone | AttemptEnded
+Event = (UpstreamsUpdated | RequestArrived | RequestWhole | DueMoved | BodyPassed | RequestGone | AttemptEnded
          | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | FleetChanged | TimerFired | PeerMessage)
 
 
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -33,9 +33,10 @@
 MEMORY_PART = 0.75  # of the limit; the rest is for short requests and for what the allocator keeps
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 FRESH_LIST_S = 4.5  # a process that takes over from another has 6 s to say yes
-KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline, which counts for 3 s at most
+KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline at the soonest
+LONGEST_COUNTED_S = 3.0  # a deadline that is longer counts as this
 LAST_ANSWER_S = 0.4  # with the longest aim, what a last request is left for its answer
-LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
+ENDS_BEFORE_S = 0.2  # SIGKILL, the last answers set out: time for a busy loop to write them
 
 
 class RateLimit(logging.Filter):
@@ -72,14 +73,25 @@
     await server.listen(inherited or settings.listen)
     await stop.wait()
     lifecycle.stop()
+    killed_s = soonest_kill_s(server)
+    server.host.end_by(clock_us() + int((killed_s - ENDS_BEFORE_S) * 1e6))
     if members is not None:
         await members.leave()
-    await (end_alone(server) if inherited is None else end_beside(server))
-    while server.clients and lifecycle.closing_for_s < LONGEST_STOP_S:
+    await (end_alone(server) if inherited is None else end_beside(server, killed_s))
+    # hazard: what is under way when a process ends by itself is lost; when SIGKILL ends it, it need not be
+    while server.busy or (server.clients and lifecycle.closing_for_s < killed_s - ENDS_BEFORE_S / 2):
         server.close_idle(clock_us())
+        if lifecycle.closing_for_s >= killed_s - ENDS_BEFORE_S:
+            server.turn_away_unread()
         await asyncio.sleep(0.01)
 
 
+def soonest_kill_s(server: Server) -> float:
+    """From SIGTERM to SIGKILL, at the least."""
+    longest_s = max(kind.deadline_us for kind in server.host.settings.classes) / 1e6
+    return min(LONGEST_COUNTED_S, longest_s) + KILL_GAP_S
+
+
 async def with_members(sidecar: Sidecar) -> Members | None:
     """The member beside this sidecar, if the file switches it on. Hazard: without it the sidecar serves as it does
     alone, so whatever is wrong with it must not keep the sidecar from starting."""
@@ -122,13 +134,11 @@
     await server.stop_listening()
 
 
-async def end_beside(server: Server) -> None:
+async def end_beside(server: Server, killed_s: float) -> None:
     """Another process has the listening socket too. Hazard: what would be accepted from now on is better off
     there; and an idle connection closed at once would cost its next request, so each may carry a last one."""
     await server.stop_listening()
-    classes = server.host.settings.classes
-    killed_s = min(3.0, max(kind.deadline_us for kind in classes) / 1e6) + KILL_GAP_S
-    idle_s = killed_s - max(kind.aim_us for kind in classes) / 1e6 - LAST_ANSWER_S
+    idle_s = killed_s - max(kind.aim_us for kind in server.host.settings.classes) / 1e6 - LAST_ANSWER_S
     while server.clients and server.lifecycle.closing_for_s < idle_s:
         await asyncio.sleep(0.01)
 
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -145,6 +145,7 @@
         self.requests: dict[int, Request] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.last_ident = 0
+        self.ends_us = 0  # when this process gives its last answers; 0: it goes on
         self.events: deque[api.Event] = deque()
         self.running = False
         self.balancer = Balancer(settings, seed, clock_us())
@@ -157,6 +158,18 @@
         self._tell(api.SettingsChanged(settings, api.places_before(settings.classes, before.classes),
                                        api.places_before(settings.tenants, before.tenants)))
 
+    def end_by(self, at_us: int) -> None:
+        """This process ends: what has no answer by then gets one then. Hazard: a client whose time is longer than the
+        process has would be left with none."""
+        self.ends_us = at_us
+        for request in list(self.requests.values()):
+            if request.whole and not request.over and request.bound < 0 and request.due_us > at_us:
+                self._set_due(request, at_us)
+                for number, attempt in enumerate(request.attempts):
+                    if not attempt.ended:
+                        self._time(request, number)
+                self._tell(api.DueMoved(request.ident, at_us))
+
     def start(self) -> None:
         """Let the module ask for what it wants from the first moment on."""
         self._tell(api.TimerFired(0))
@@ -167,8 +180,7 @@
         request = Request(self.last_ident, call, self._due_us(call), asker, whole)
         self.requests[request.ident] = request
         if whole:
-            # hazard: whatever becomes of the module's own timers, no client is left without an answer
-            request.timer = self._at(request.due_us + BACKSTOP_US, self._overdue, request)
+            self._set_due(request, request.due_us)
         self._tell(api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant, call.key,
                                       call.cost_us, call.retried, whole=whole))
         return request.ident
@@ -180,8 +192,7 @@
             return
         request.whole = True
         request.call.arrived_us = now_us = clock_us()
-        request.due_us = self._due_us(request.call)
-        request.timer = self._at(request.due_us + BACKSTOP_US, self._overdue, request)
+        self._set_due(request, self._due_us(request.call))
         for number, attempt in enumerate(request.attempts):
             if not attempt.ended:
                 attempt.sent_us = now_us
@@ -303,9 +314,16 @@
 
     # Requests
 
-    @staticmethod
-    def _due_us(call: Call) -> int:
-        return call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
+    def _due_us(self, call: Call) -> int:
+        due_us = call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
+        return min(due_us, self.ends_us) if self.ends_us else due_us
+
+    def _set_due(self, request: Request, due_us: int) -> None:
+        """Hazard: whatever becomes of the module's own timers, no client is left without an answer."""
+        request.due_us = due_us
+        if request.timer is not None:
+            request.timer.cancel()
+        request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
 
     def _overdue(self, request: Request) -> None:
         if not request.over and request.bound < 0:
@@ -362,6 +380,8 @@
     def _time(self, request: Request, number: int) -> None:
         """Start the clock of an attempt."""
         attempt = request.attempts[number]
+        if attempt.timer is not None:
+            attempt.timer.cancel()
         due_us = min(request.due_us, attempt.sent_us + attempt.timeout_us) if attempt.timeout_us \
             else request.due_us
         attempt.timer = self._at(due_us, self._timed_out, request, number)
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -41,6 +41,7 @@
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
 SETTLE_S = 0.1  # in which the loop sets up what it has accepted, however busy it is
+SOON_US = 1_000_000  # after which another process is there in the place of one that ends
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -274,6 +275,12 @@
         self.drop()
         self.write(status, body, head, last=True)
 
+    def refuse_unread(self, after_us: int = SOON_US) -> None:
+        """It has not come whole, and so has not run."""
+        settings = self.server.catalogue.settings
+        after_us = min(after_us, settings.max_retry_after_us) if settings.retry_after else 0
+        self.turn_away(503, head=retry_after(after_us))
+
     def feed(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -447,6 +454,11 @@
         else:
             self.transport.abort()
 
+    @property
+    def unwritten_size(self) -> int:
+        """Bytes of answers that its client has not taken yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     @property
     def idle(self) -> bool:
         return not self.open and not self.ending and self.begun_us == 0
@@ -474,9 +486,7 @@
             return
         if self.waits_us:
             if not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
-                settings = self.server.catalogue.settings
-                after_us = min(LONGEST_WAIT_US, settings.max_retry_after_us) if settings.retry_after else 0
-                self.turn_away(503, head=retry_after(after_us))
+                self.refuse_unread(LONGEST_WAIT_US)
             elif self.open and now_us > self.waits_us + STALL_US:
                 self.server.host.stalled(self.ident)
         elif now_us > self.limit_us:
@@ -536,6 +546,17 @@
             if client.idle and client.quiet_us <= quiet_since_us:
                 client.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether something is under way: a request, or an answer that is not yet written."""
+        return any(client.open or client.unwritten_size for client in self.clients)
+
+    def turn_away_unread(self) -> None:
+        """Refuse what has not come whole: there is no time left for it."""
+        for client in list(self.clients):
+            if client.begun_us and not client.whole and not client.ending and client.source is None:
+                client.refuse_unread()
+
     async def stop_listening(self) -> None:
         """Accept nobody from now on; then close this copy of the socket: a shutdown would end it for all.
 
--- /dev/null
+++ b/tests/test_crossing_stop.py
@@ -0,0 +1,157 @@
+"""Crossings with the end of the process: what is under way when it is told to stop, each made step by step."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+from subprocess import Popen
+from typing import Any
+
+from tests.net import PATIENCE_S, Upstream, answering, entry, listening, listing, read_message, request, silent, until
+from tests.test_long import upload
+from tests.test_program import SETTINGS, configuration, program
+from tests.test_sidecar import run, status
+
+LONG_US = 20_000_000  # deadlines far beyond the 3.7 s after which SIGKILL comes at the soonest
+PATIENT: dict[str, Any] = SETTINGS | {
+    "bounds": SETTINGS["bounds"] | {"dial-timeout": LONG_US, "second-copies": False, "max-retry-after": 2_000_000},
+    "request-classes": [{"name": name, "aim": LONG_US, "deadline": LONG_US, "effect": effect, "worth": 1.0}
+                        for name, effect in (("pay", "at_most_once"), ("read", "idempotent"))]}
+
+
+@contextlib.contextmanager
+def never_up() -> Iterator[int]:
+    """The port of a listener whose backlog is full: connections to it never come up."""
+    with socket.socket() as held, socket.socket() as filler, socket.socket() as more:
+        held.bind(("127.0.0.1", 0))
+        held.listen(0)
+        for each in (filler, more):
+            each.setblocking(False)
+            each.connect_ex(held.getsockname())
+        yield int(held.getsockname()[1])
+
+
+class Client:
+    """One connection to the program under test."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def status(self) -> int:
+        """Of a whole answer; a connection that ends without one fails the test."""
+        async with asyncio.timeout(PATIENCE_S):
+            answer = await read_message(self.reader)
+        assert b"Connection: close" in answer[0]
+        self.writer.close()
+        return status(answer)
+
+
+@contextlib.asynccontextmanager
+async def running(folder: Path, *ports: int, settings: dict[str, Any] = PATIENT) -> AsyncIterator[
+        tuple[Popen[bytes], Any]]:
+    """The program beside upstreams at these ports, and a way to send it something on a connection of its own."""
+    path = configuration(folder, settings=settings, known=listing(*(entry(f"u{p}", p) for p in ports)))
+    port = int(json.loads(path.read_text())["listen"].split(":")[1])
+
+    async def send(data: bytes) -> Client:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        return Client(reader, writer)
+
+    with program(path) as process:
+        await listening(port, lambda: process.poll() is None)
+        yield process, send
+
+
+async def ended(process: Popen[bytes]) -> int:
+    return await asyncio.to_thread(process.wait, PATIENCE_S)
+
+
+def test_what_outlasts_the_process_has_its_answer_before_the_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(silent)
+        await upstream.start()
+        async with running(tmp_path, upstream.port) as (process, send):
+            out = [await send(request("pay", f"p{n}", b"b")) for n in range(2)]
+            safe = await send(request("read", "r", deadline_ms=19_000))
+            await until(lambda: len(upstream.requests) == 3)  # its slots
+            buffered = await send(request("pay", "q", b"b"))
+            half = await send(request("pay", "h", b"four")[:-2])
+            long = await send(upload(b"x" * 200_000)[:100_000])
+            await asyncio.sleep(0.2)
+            process.send_signal(signal.SIGTERM)
+            assert [await client.status() for client in out] == [500, 500]  # they may have run
+            assert [await client.status() for client in (safe, buffered, long)] == [503] * 3
+            assert await half.status() == 408  # its time to come whole was over before
+            assert await ended(process) == 0
+            assert len(upstream.requests) == 3
+        upstream.stop()
+
+    run(test)
+
+
+def test_what_waits_for_a_connection_at_the_end_is_refused(tmp_path: Path) -> None:
+    async def test() -> None:
+        with never_up() as port:
+            async with running(tmp_path, port) as (process, send):
+                waiting = await send(request("pay", body=b"b"))
+                await asyncio.sleep(0.2)
+                process.send_signal(signal.SIGTERM)
+                assert await waiting.status() == 503
+                assert await ended(process) == 0
+
+    run(test)
+
+
+def test_a_long_answer_under_way_is_not_cut_by_a_process_that_ends_by_itself(tmp_path: Path) -> None:
+    async def test() -> None:
+        on = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 70_000)
+            await on.wait()
+            writer.write(b"y" * 30_000)
+
+        upstream = Upstream(script)
+        await upstream.start()
+        async with running(tmp_path, upstream.port) as (process, send):
+            client = await send(request("read"))
+            await client.reader.readuntil(b"\r\n\r\n")
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(4.0)  # past the soonest SIGKILL, which may come later
+            assert process.poll() is None
+            on.set()
+            assert await client.reader.readexactly(100_000) == b"x" * 70_000 + b"y" * 30_000
+            client.writer.close()
+            assert await ended(process) == 0
+        upstream.stop()
+
+    run(test)
+
+
+def test_short_deadlines_bring_the_last_answers_forward(tmp_path: Path) -> None:
+    short: dict[str, Any] = SETTINGS | {"request-classes": [
+        {"name": "pay", "aim": 200_000, "deadline": 300_000, "effect": "at_most_once", "worth": 1.0}]}
+
+    async def test() -> None:
+        upstream = Upstream(answering(b"never"))
+        await upstream.start()
+        async with running(tmp_path, upstream.port, settings=short) as (process, send):
+            half = await send(request("pay", body=b"four")[:-2])
+            await asyncio.sleep(0.2)
+            loop = asyncio.get_running_loop()
+            process.send_signal(signal.SIGTERM)
+            told = loop.time()
+            assert await half.status() == 503  # not after 2.7 s, when its time to come whole is over
+            assert loop.time() - told < 2.0 and not upstream.requests
+            half.writer.close()
+            assert await ended(process) == 0
+        upstream.stop()
+
+    run(test)
