Send what waits for a connection to an upstream that drains elsewhere, at once

Need: a request that waits for its connection is written when that comes up, however long ago the list said that the upstream drains or is gone.

Cause: Host.list_changed closed idle connections only; the attempt kept its dial, and Connection.connection_made wrote it. NOT_SENT was final to the module, so what was gone between choice and send failed, too.

Ruled out: writing to a forgotten upstream from the pool (its idle connections are closed in the same call); a choice after the list (the module forgets first).

Change: after a list, attempts that wait for an address that is no more their upstream's end as NOT_SENT, and the module places them again within attempts and budget.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -18,7 +18,8 @@
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 FAULTS_IN_A_ROW = 2  # tell a failing upstream from one broken connection or answer among good ones
 UNJUDGED = (api.Outcome.REJECTED, api.Outcome.NOT_SENT)  # tell nothing of an upstream
-REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
+REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT, api.Outcome.NOT_SENT)  # hazard: an upstream failing a part, or
+# gone before it was sent to, would lose them all
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.85  # of the slow time, where slots settle: more chokes crowded upstreams, less refuses early
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -115,6 +115,7 @@
 class Attempt:
     upstream: int
     sent_us: int
+    address: tuple[str, int] | None  # where it was then; None: it was gone
     flight: Flight | None = None
     timer: asyncio.TimerHandle | None = None
     timeout_us: int = 0  # as the module said
@@ -235,6 +236,18 @@
             if entry.state is not api.UpstreamState.READY:
                 self._forget(entry.id)
         self._tell(event)
+        if event.upstreams:
+            self._recall()
+
+    def _recall(self) -> None:
+        """What waits for a connection to where its upstream is no more goes elsewhere. Hazard: the connection may come
+        up long after we were told that the upstream drains, and the request would be written to it then."""
+        for request in list(self.requests.values()):
+            for number, attempt in enumerate(request.attempts):
+                flight, address = attempt.flight, self.addresses.get(attempt.upstream)
+                if flight is not None and not flight.written and attempt.address != address:
+                    flight.give_up()
+                    self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
 
     def zones(self, names: list[str]) -> list[dict[str, object]]:
         """What the module believes of each zone, and why."""
@@ -362,9 +375,9 @@
             return  # over, and the module has been told
         now_us = clock_us()
         number = len(request.attempts)
-        attempt = Attempt(action.upstream, now_us, timeout_us=action.timeout_us)
-        request.attempts.append(attempt)
         address = self.addresses.get(action.upstream)
+        attempt = Attempt(action.upstream, now_us, address, timeout_us=action.timeout_us)
+        request.attempts.append(attempt)
         left_us = request.due_us - now_us if request.whole else request.call.deadline_us
         if (request.over or request.bound >= 0 or address is None or left_us <= 0 or action.timeout_us < 0
                 or number >= self.settings.max_attempts):
