Let a connection settle after its answer, as a late second one was taken for the next

Seen in a forced crossing: an upstream that answers a second time some milliseconds late, on a connection that the next request is already on, has its stray answer passed on for that request: the client got b'late' for b'done', an answer that no upstream made for it, which loses the request.

Cause: Pool.start took the connection used last, however short ago (upstreams.py); usable() sees stray bytes only once they are there.

Ruled out: two answers in one read (on_message_begin closes), strays while idle (data_received closes), answers to attempts given up (their connections close).

Change: a connection is used again 20 ms after its answer, under the 25 ms that Trust always trusts; till then another one or a new one is. Two tests sent again at once and counted connections: they now wait for that time, and count the same.

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -32,11 +32,13 @@
 HOLD_S = 0.1  # an answer of unknown length that takes longer passes through, lest its first bytes be late
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 YOUNG_US = 25_000  # connections idle for less are in steady use
+SETTLE_US = 20_000  # after an answer, in which a second one may still come; YOUNG_US has to be longer
 MOST_LOST = 0.25  # a share of lost requests well above what a bad network takes of any connection
 LOST_WEIGHT = 1 / 16  # five losses among a dozen uses tell
 LOST_FADING = 0.99  # a sweep, so a lesson halves in 7 s
 SWEEP_S = 0.1
 UPSTREAMS_OWN = (408, 429)  # of 4xx, those that speak of the upstream's state and not of the request
+NEVER_USED = -2
 Address = tuple[str, int]
 
 
@@ -118,7 +120,7 @@
         self.attempt: Attempt | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.idle_since_us = 0  # 0 until it is first put away
-        self.idled_us = -1  # before the attempt that it carries; -1 for its first
+        self.idled_us = NEVER_USED  # before the attempt that it carries, or carried last; -1 for its first
         self.closed = False
         self.unsent = False  # part of what was written is still with us
         self.unfinished = False  # the rest of the request's body is still to come
@@ -156,6 +158,10 @@
         if self.attempt is not None and self.attempt.upload is not None:
             self.attempt.upload.flow(True)
 
+    def settled(self, now_us: int) -> bool:
+        """Whether nothing more is to be expected of the answer before."""
+        return self.idled_us == NEVER_USED or now_us - self.idle_since_us >= SETTLE_US
+
     def usable(self) -> bool:
         """Hazard: an end or stray bytes that have come but were not read yet would cost the request."""
         if self.closed or self.transport is None or self.transport.is_closing():
@@ -404,12 +410,12 @@
               began: Callable[[Head, Source], Sink | None]) -> Attempt:
         data = request_head(call, address, timeout_us) + call.body
         attempt = Attempt(self, address, data, ended, began, call.upload)
-        oldest_us = clock_us() - self.trust.limit_us()
-        idle = self.idle.get(address, [])
-        while idle:
-            connection = idle[-1]
+        now_us = clock_us()
+        oldest_us = now_us - self.trust.limit_us()
+        # hazard: a second answer, some milliseconds late, would be taken for that to the next request
+        for connection in [c for c in reversed(self.idle.get(address, [])) if c.settled(now_us)]:
             if connection.idle_since_us > oldest_us and connection.usable():
-                idle.pop()
+                self.remove(connection)
                 connection.send(attempt)
                 return attempt
             connection.close()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,7 +14,7 @@
 from plovertrail.body import LONGEST, Head, Room, Source, Upload
 from plovertrail.host import Call, Result
 from plovertrail.server import Catalogue
-from plovertrail.upstreams import Pool
+from plovertrail.upstreams import SETTLE_US, Pool
 from tests.net import (
     NOT_RUN,
     OK,
@@ -127,6 +127,7 @@
                 assert await reader.readexactly(10) == LONG[:10]
                 seen.set()
                 assert await reader.readexactly(len(LONG) - 10) == LONG[10:]
+                await asyncio.sleep(2 * SETTLE_US / 1e6)
             writer.close()
         assert upstream.connections == 1
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,7 +17,7 @@
 from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
 from plovertrail.lifecycle import Lifecycle
 from plovertrail.server import Client, Server
-from plovertrail.upstreams import Attempt, Connection, Pool, Trust
+from plovertrail.upstreams import SETTLE_US, Attempt, Connection, Pool, Trust
 from tests.net import (
     NOT_RUN,
     OK,
@@ -204,6 +204,7 @@
         async with sidecar(upstream) as it:
             for number in range(5):
                 assert (await it.ask(request(ident=str(number))))[1] == b"done"
+                await asyncio.sleep(2 * SETTLE_US / 1e6)  # sooner, a second answer may be on its way
         assert upstream.connections == 3
 
     run(test)
