Send nothing on for a client that has left, and answer one that only sends no more

A client that ends only its sending side gets no answer at all: its connection is closed under it, which loses the request.

Cause: Client had no eof_received, so asyncio closed the connection at the end of the client's sending side (server.py); and while reading is paused (flow(False)) the loop watches the socket for nothing.

Change: at the end of sending ClientLeft tells the module, which sends nothing more and answers at once if nothing is out; what is out may be answered.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -86,7 +86,7 @@
         self.whole = event.whole  # else its body is still coming, and no time has begun
         self.passed = False  # its body can't be sent again
         self.attempts: list[Attempt] = []
-        self.done = self.streaming = False
+        self.done = self.streaming = self.left = False
 
     def out(self) -> int:
         return sum(1 for attempt in self.attempts if attempt.ended is None)
@@ -135,6 +135,8 @@
             self.run_due()
         elif isinstance(event, api.RequestGone) and event.request in self.requests:
             self.close(self.requests[event.request])
+        elif isinstance(event, api.ClientLeft) and event.request in self.requests:
+            self.on_left(self.requests[event.request])
         elif isinstance(event, api.StreamStarted) and event.request in self.requests:
             self.on_stream_started(self.requests[event.request], event)
         elif isinstance(event, api.RequestWhole) and event.request in self.requests:
@@ -199,6 +201,12 @@
                 attempt.sent_us = self.now_us
                 self.take_slot(attempt)
 
+    def on_left(self, request: Request) -> None:
+        """What is out may still be answered; what is not is given up at once."""
+        request.left = True
+        if request.out() == 0 and not request.done:
+            self.finish(request)
+
     def on_due_moved(self, request: Request, due_us: int) -> None:
         request.patience_us = due_us - request.arrived_us
         if request is self.buffer:
@@ -453,7 +461,9 @@
 
     def may_send(self, request: Request) -> bool:
         """Rules 1 and 2 as far as they don't depend on the upstream."""
-        if request.done or request.streaming or self.now_us >= self.since_us(request) + request.patience_us:
+        if request.done or request.streaming or request.left:
+            return False
+        if self.now_us >= self.since_us(request) + request.patience_us:
             return False
         if request.passed and request.attempts:
             return False
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -209,6 +209,13 @@
     request: int
 
 
+@dataclass(slots=True)
+class ClientLeft:
+    """The client sends nothing more, and may have left: nothing is sent on for it now, but an answer is still owed."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class AttemptEnded:
     request: int
@@ -274,8 +281,9 @@
     payload: bytes
 
 
-Event = (UpstreamsUpdated | RequestArrived | RequestWhole | DueMoved | BodyPassed | RequestGone | AttemptEnded
-         | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | FleetChanged | TimerFired | PeerMessage)
+Event = (UpstreamsUpdated | RequestArrived | RequestWhole | DueMoved | BodyPassed | RequestGone | ClientLeft
+         | AttemptEnded | StreamStarted | ProbeEnded | SettingsChanged | ZoneOrdered | FleetChanged | TimerFired
+         | PeerMessage)
 
 
 # Actions
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -224,6 +224,13 @@
         self._finish(request)
         self._tell(api.RequestGone(ident))
 
+    def left(self, ident: int) -> None:
+        """The client of a whole request sends nothing more: it has left, or only waits for its answer."""
+        request = self.requests.get(ident)
+        if request is not None and not request.over and request.bound < 0:
+            self._tell(api.ClientLeft(ident))
+            self._keep_back(request)
+
     def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
         """Discovery has spoken; `addresses` has those of the entries of the event."""
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
@@ -357,11 +364,15 @@
         request.over = True
         if request.timer is not None:
             request.timer.cancel()
+        self._keep_back(request)
+        self._drop_if_done(request)
+
+    def _keep_back(self, request: Request) -> None:
+        """What still waits for a connection is not sent."""
         for number, attempt in enumerate(request.attempts):
             if attempt.flight is not None and not attempt.ended and not attempt.flight.written:
                 attempt.flight.give_up()
                 self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
-        self._drop_if_done(request)
 
     def _drop_if_done(self, request: Request) -> None:
         if request.over and all(attempt.ended for attempt in request.attempts):
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import struct
 
@@ -154,6 +155,15 @@
         self.server.clients.pop(self, None)
         self.drop()
 
+    def eof_received(self) -> bool:
+        """Its client sends nothing more. Hazard: whether it has left or only waits for its answer no socket tells
+        before something is written; so nothing is sent on for it from now on, and it gets an answer."""
+        if not (self.open and self.whole):
+            return False
+        self.last = True
+        self.server.host.left(self.ident)
+        return True
+
     def drop(self) -> None:
         """Whatever of a request is here goes no further."""
         if self.upload is not None:
@@ -463,6 +473,17 @@
     def idle(self) -> bool:
         return not self.open and not self.ending and self.begun_us == 0
 
+    def has_left(self) -> bool:
+        """Hazard: while its reading is paused the loop does not see that a client has gone, and what the kernel holds
+        of its body would be sent on later."""
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        look = select.poll()
+        look.register(sock.fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
+
     @property
     def unproven(self) -> bool:
         return not self.proven and not self.ending
@@ -485,7 +506,9 @@
         if self.ending or self.whole or (self.proven and self.begun_us == 0):
             return
         if self.waits_us:
-            if not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
+            if self.has_left():
+                self.refuse_unread()
+            elif not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
                 self.refuse_unread(LONGEST_WAIT_US)
             elif self.open and now_us > self.waits_us + STALL_US:
                 self.server.host.stalled(self.ident)
