Read what is there before an idle connection is closed, and spare new ones at the end

Cause: Server.close_idle and Server.connected closed at once whatever the loop had not read yet; a new connection, quiet since it was made, was as idle as one long in use.

Ruled out: connections accepted and not set up (SETTLE_S waits for them), requests half read (begun_us keeps them).

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -122,6 +122,7 @@
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
         self.ending = False  # what still comes is not read any more
+        self.leaving = False  # it closes unless a request of it is here
         self.blocked_us = 0  # since when what we write is not taken
         self.unwritten = 0  # and how much of it is left, as last seen
         self.reset()
@@ -488,8 +489,21 @@
     def unproven(self) -> bool:
         return not self.proven and not self.ending
 
+    def close_soon(self) -> None:
+        """End an idle connection, but first read what the kernel holds of it: two rounds of the loop. Hazard: closing
+        resets a connection with a request in it that is there and was not read."""
+        if not self.leaving:
+            self.leaving = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(loop.call_soon, self.close_if_idle)
+
+    def close_if_idle(self) -> None:
+        self.leaving = False
+        if self.idle:
+            self.close()
+
     def close(self) -> None:
-        """End an idle connection."""
+        """End a connection that carries no whole request."""
         assert self.transport is not None
         self.ending = True
         self.transport.close()
@@ -549,9 +563,12 @@
         """Hazard: with no descriptor left no upstream could be reached, so the oldest client without an open
         request goes, a stranger before one that has sent proper requests."""
         if len(self.clients) >= self.most_clients:
-            oldest = next((other for other in self.clients if other.unproven), None)
-            oldest = oldest or next((other for other in self.clients if other.idle), None)
-            if oldest is not None:
+            staying = [other for other in self.clients if not other.leaving]
+            oldest = next((other for other in staying if other.unproven), None)
+            oldest = oldest or next((other for other in staying if other.idle), None)
+            if oldest is not None and oldest.idle:
+                oldest.close_soon()
+            elif oldest is not None:
                 oldest.close()
         self.clients[client] = None
 
@@ -564,10 +581,12 @@
             self.close_idle(now_us - QUIET_US)
 
     def close_idle(self, quiet_since_us: int) -> None:
-        """Close the connections that have been idle since then."""
+        """Close the connections that have been idle since then. Hazard: the first request of a new one is on its way,
+        and clients do not send that again."""
+        new_us = clock_us() - QUIET_US
         for client in list(self.clients):
-            if client.idle and client.quiet_us <= quiet_since_us:
-                client.close()
+            if client.idle and client.quiet_us <= (quiet_since_us if client.proven else min(quiet_since_us, new_us)):
+                client.close_soon()
 
     @property
     def busy(self) -> bool:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -643,6 +643,8 @@
 
         async with sidecar(*upstreams) as it:
             idle_reader, idle_writer = await it.connect()
+            idle_writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")  # a new one is given time for its first request
+            assert status(await read_message(idle_reader)) == 200
             reader, writer = await it.connect()
             writer.write(request(ident="1"))
             await until(lambda: total() == 1)
