Give a request of no known tenant nobody's limits, not the first tenant's

Seen: a request with no X-Tenant, or one that the settings do not know (any more), was counted in the figures of the tenant that the file names first and valued by that one's share: Catalogue.call fell back to place 0 (server.py), which is a tenant where there are any. A stranger's burst so takes the first tenant's share away.

Ruled out: classes (an unknown one gets 404, matched by its whole path segment; held by a test on the names of all sites in deploy/sites), places after a retune (kinds and parties go by name; held by a test).

The test fails without the change. A further test reads the sites' names and finds none of them in the program or the deploy file.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -274,6 +274,8 @@
             seen = request.party.seen / all_seen if all_seen > 0.0 else 0.0  # none since the settings changed
             inside = min(1.0, allowed / seen) if seen > 0.0 else 1.0
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * inside
+        elif self.parties:
+            worth *= s.over_share_worth  # it is of no tenant that has a share
         return worth
 
     def since_us(self, request: Request) -> int:
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -171,7 +171,7 @@
     request: int
     due_us: int  # when the client stops waiting
     class_index: int = 0
-    tenant: int = 0
+    tenant: int = 0  # its place in the settings; beyond their tenants: it is none of them
     key: int = 0  # 0 = none
     cost_us: int = 0  # expected work on a standard core; 0 = not known
     retried: bool = False  # the client sends it again
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -98,7 +98,7 @@
             method, target, [(n, v) for n, v in headers if n.lower() not in OWN_HEADERS], b"", clock_us(),
             deadline_us=1000 * whole_number(found.get(b"x-deadline-ms", b""), "X-Deadline-Ms"),
             class_index=index,
-            tenant=self.tenants.get(found.get(b"x-tenant", b""), 0),
+            tenant=self.tenants.get(found.get(b"x-tenant", b""), len(self.tenants)),  # beyond all: it is none of them
             key=hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
             cost_us=whole_number(cost, "X-Cost-Hint") if cost else 0,
             retried=found.get(b"x-retry") == b"1",
--- /dev/null
+++ b/tests/test_crossing_settings.py
@@ -0,0 +1,87 @@
+"""Crossings with settings that change, and requests whose tenant or class the settings do not know."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from glenkeel.interface import RequestClass, Settings, SettingsChanged, Tenant, places_before
+from plovertrail.server import Catalogue
+from tests.world import World, classes, settings, upstreams
+
+ROOT = Path(__file__).resolve().parent.parent
+SITES = [tomllib.loads(path.read_text()) for path in sorted((ROOT / "deploy" / "sites").glob("*/*.toml"))]
+TENANTS = [Tenant("b", 10.0, 0.5), Tenant("b-b", 10.0, 0.5)]
+
+
+def headers(tenant: str | None) -> list[tuple[bytes, bytes]]:
+    named = [(b"X-Tenant", tenant.encode())] if tenant is not None else []
+    return [(b"X-Request-Id", b"1"), (b"X-Deadline-Ms", b"900"), (b"X-Class", b"read"), *named]
+
+
+def test_a_request_of_no_known_tenant_has_no_tenants_limits() -> None:
+    catalogue = Catalogue(Settings(classes(), tenants=TENANTS))
+    for tenant, place in (("b", 0), ("b-b", 1), ("x", 2), ("", 2), (None, 2)):
+        assert catalogue.call(b"GET", b"/read/it", headers(tenant)).tenant == place
+    assert Catalogue(Settings(classes())).call(b"GET", b"/read/it", headers(None)).tenant == 0  # where there are none
+
+    world, plain = World(settings(tenants=TENANTS, over_share_worth=0.2)), World()
+    values = []
+    for each in (world, plain):
+        each.tell_list(upstreams(2))
+        request = each.balancer.requests[each.arrive(class_index=1, tenant=2)]
+        values.append(each.balancer.value(request))
+    assert values[0] == pytest.approx(0.2 * values[1])  # where there are shares it has none
+    for _ in range(50):
+        world.arrive(tenant=2)
+    assert [party.seen for party in world.balancer.parties] == [0.0, 0.0]
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site["name"])
+def test_a_class_is_known_by_its_whole_name(site: dict[str, list[dict[str, str]]]) -> None:
+    """Also where one's name is another's beginning, or has letters that are odd but legal in a path."""
+    effects = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
+    kinds = [RequestClass(kind["name"], 1, 1, effect=effects[kind["effect"]]) for kind in site["class"]]
+    tenants = [Tenant(tenant["name"], 1.0) for tenant in site.get("tenant", [])]
+    catalogue = Catalogue(Settings(kinds, tenants=tenants))
+    for place, kind in enumerate(kinds):
+        for number, tenant in enumerate(tenants):
+            method = b"GET" if kind.effect == "idempotent" else b"POST"
+            call = catalogue.call(method, f"/{kind.name}/a/b?c=/x".encode(), [
+                (b"X-Request-Id", b"1"), (b"X-Deadline-Ms", b"9"), (b"Idempotency-Key", b"k"),
+                (b"X-Class", kind.name.encode()), (b"X-Tenant", tenant.name.encode())])
+            assert (call.class_index, call.tenant) == (place, number)
+
+
+def test_nothing_names_a_deployment() -> None:
+    """Neither the program nor the deploy file knows a class, a tenant or a zone of any site."""
+    files = [ROOT / "deploy" / "balancer.toml", *ROOT.glob("glenkeel/*.py"), *ROOT.glob("plovertrail/*.py")]
+    text = {path.name: path.read_text() for path in files}
+    assert len(SITES) >= 2 and len(text) > 10
+    for site in SITES:
+        names = [site["name"], *(each["name"] for each in site["class"]), *(each["name"] for each in site["tenant"]),
+                 *site["net"]["zones"]]
+        # one or two letters, or a plain word of the protocol, name nothing
+        telling = [name for name in names if len(name) > 2 and name not in ("post", "fetch", "store", "east", "west")]
+        assert len(telling) >= 3
+        for name in telling:
+            for where, what in text.items():
+                assert name not in what, f"{where} names {json.dumps(name)} of {site['name']}"
+
+
+def test_figures_of_tenants_and_classes_follow_their_names_whatever_the_order() -> None:
+    kinds = classes()
+    world = World(settings(tenants=TENANTS))
+    world.tell_list(upstreams(2))
+    for _ in range(20):
+        world.arrive(tenant=1)
+    held = next(iter(world.balancer.requests.values()))
+    seen = world.balancer.parties[1].seen
+    after = settings(tenants=[TENANTS[1], Tenant("b-", 1.0), TENANTS[0]],
+                     classes=[kinds[2], RequestClass("read", 200_000, 900_000, effect="at_most_once"), kinds[1]])
+    world.tell(SettingsChanged(after, places_before(after.classes, kinds), places_before(after.tenants, TENANTS)))
+    assert [party.seen for party in world.balancer.parties] == [seen, 0.0, 0.0]
+    assert held.kind.rules is not after.classes[1] and held.kind.rules.effect == "idempotent"
