Take no address with a port that no socket has

Cause: parse_address passed any decimal port; connecting to one over 65535 raises OverflowError, which Pool.dial and Discovery.connect do not expect: an attempt hung till its time-out, a watch for 2.5 s each time, with a traceback for each. Now the list or file that has one is unreadable as a whole, with a line that says what was expected, and the one before stays.

--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -77,7 +77,7 @@
 def parse_address(text: str) -> tuple[str, int]:
     """The two parts of `host:port`."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal():
+    if not colon or not host or not port.isdecimal() or int(port) >= 1 << 16:
         raise ValueError(f"expected host:port, got {text!r}")
     return host, int(port)
 
