Read indented lists, check long ones before any of them is taken, hear no replaced watch

Three faults of the watch (plovertrail/discovery.py), each with tests in test_crossing_watch.py that fail without its mend:

Watch.on_body read each line as a list of its own: an indented one could not be read, the watch was called for again each 0.25 s, and no drain was ever learnt. Lines are now put together till they are a list; one that breaks off (an empty line within it) is an error at once. - A list of over 500 entries, taken in pieces, whose last part can't be read had been taken by half, and its unlisted upstreams were gone. All its pieces are checked first. - What a replaced watch still said counted as heard, and changed list and version: in one read with several lines, if a line before leads to a new watch; else only the order of asyncio's callbacks kept it out. A replaced watch is passed over.

Ruled out: silence in six places (before the head, in it, after it, in a line, after an empty line, after a change): called for twice within 6.9 s, held by a test.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -69,14 +69,26 @@
         return [{"rev": lines["rev"], "all": False, "targets": targets[i:i + PIECE]}
                 for i in range(0, len(targets), PIECE)]
 
+    def check(self, lines: Any) -> None:
+        """Raises on what is malformed in a part of a list, and takes nothing of it."""
+        for line in lines["targets"]:
+            hash(line["uid"])
+            self.parse(line)
+
     def entry(self, line: Any) -> tuple[Upstream, Address]:
+        upstream, address = self.parse(line)
         uid = line["uid"]
         if uid not in self.idents:
             self.last_ident += 1
             self.idents[uid] = self.last_ident
+        upstream.id = self.idents[uid]
+        return upstream, address
+
+    def parse(self, line: Any) -> tuple[Upstream, Address]:
+        """All of an entry but its number."""
         boot_ms = int(line["boot_ms"])
         return Upstream(
-            id=self.idents[uid],
+            id=0,
             state=STATES[line["state"]],
             zone=self.zones.index(line["az"]) if line["az"] in self.zones else len(self.zones),
             kind=self.kinds.index(line["model"]) if line["model"] in self.kinds else len(self.kinds),
@@ -94,19 +106,27 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.pending = b""
+        self.text = b""  # of a list that comes on several lines, those that are here
         self.answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if self is not self.discovery.watch:  # it was replaced while its connection came up
+        if self.replaced:  # while its connection came up
             transport.abort()
             return
         host, port = self.discovery.address
         transport.write(b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
                         % (self.discovery.version, host.encode(), port))
 
+    @property
+    def replaced(self) -> bool:
+        """Hazard: what a watch still says once another has its place is no news, and proves nothing of that one."""
+        return self is not self.discovery.watch
+
     def data_received(self, data: bytes) -> None:
+        if self.replaced:
+            return
         self.answered = True
         try:
             self.parser.feed_data(data)
@@ -122,10 +142,29 @@
         if len(self.pending) > LONGEST_LINE:
             raise ValueError("a line without end")
         for line in lines:
-            if line.strip():
-                self.discovery.changed(json.loads(line))
-            if not self.discovery.pieces:
-                self.discovery.fresh.set()  # an empty line tells that nothing has changed
+            if not self.replaced:  # by what the line before has led to
+                self.line(line.strip())
+
+    def line(self, line: bytes) -> None:
+        """One more; raises ValueError on what is no part of a list."""
+        if line:
+            begun, self.text = bool(self.text), self.text + line
+            if len(self.text) > LONGEST_LINE:
+                raise ValueError("a list without end")
+            if begun and not line.endswith(b"}"):
+                return  # lists may come indented, on many lines; to try each of them would take seconds
+            try:
+                lists = json.loads(self.text)
+            except json.JSONDecodeError as error:
+                if not self.text.startswith(b"{") or error.pos < len(error.doc):
+                    raise
+                return
+            self.text = b""
+            self.discovery.changed(lists)
+        elif self.text:
+            raise ValueError("a list that breaks off")
+        if not self.discovery.pieces:
+            self.discovery.fresh.set()  # an empty line tells that nothing has changed
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -156,7 +195,8 @@
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.fresh = asyncio.Event()  # it has answered once: the list is no longer what others remembered
-        self.pieces: deque[tuple[Any, int | None]] = deque()  # what is not yet taken: (entries, version after them)
+        # what is not yet taken: (entries, version after them, whether they are only to be checked)
+        self.pieces: deque[tuple[Any, int | None, bool]] = deque()
         self.kept = False  # the watch is called for again whenever it ends
 
     def cached(self, lines: Any) -> None:
@@ -220,28 +260,34 @@
             self.watch.fail()
 
     def changed(self, lines: Any) -> None:
-        """Take a change, or the whole list; a long one in pieces, between which requests go on. Hazard: what is not
-        yet taken would be lost if the watch were called for from its version on."""
+        """Take a change, or the whole list; a long one in pieces, between which requests go on, once all of them have
+        been checked. Hazard: what is not yet taken would be lost if the watch were called for from its version on."""
         version = int(lines["rev"])
         if lines["all"]:
             self.pieces.clear()  # whatever has not been taken yet: this is newer
         waiting = bool(self.pieces)
         *first, last = self.directory.pieces(lines)
-        self.pieces.extend([*((piece, None) for piece in first), (last, version)])
+        if first:
+            self.pieces.extend([(piece, None, True) for piece in (*first, last)])
+        self.pieces.extend([*((piece, None, False) for piece in first), (last, version, False)])
         if not waiting:
             self.take()
 
     def take(self) -> None:
         """One piece; the others in later rounds of the loop."""
-        piece, version = self.pieces[0]
+        piece, version, only_check = self.pieces[0]
         try:
-            event, addresses = self.directory.read(piece)
+            if only_check:
+                self.directory.check(piece)
+            else:
+                event, addresses = self.directory.read(piece)
         except Exception:
             self.pieces.clear()
             raise
         self.pieces.popleft()
-        self.version = self.version if version is None else version
-        self.listener(event, addresses)
+        if not only_check:
+            self.version = self.version if version is None else version
+            self.listener(event, addresses)
         if self.pieces:
             self.loop.call_soon(self.take_next)
         else:
--- /dev/null
+++ b/tests/test_crossing_watch.py
@@ -0,0 +1,233 @@
+"""Crossings of the watch: what it says, and what becomes of it, between two rounds of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, cast
+
+import pytest
+
+from glenkeel.interface import UpstreamState, UpstreamsUpdated
+from plovertrail.config import parse_address
+from plovertrail.discovery import PIECE, Address, Directory, Watch
+from plovertrail.discovery import Discovery as Discovering
+from tests.net import OK, Discovery, Upstream, answering, entry, listing, request, sidecar, until
+from tests.test_sidecar import DrivenLoop, run, status
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def piece(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Wire(asyncio.Transport):
+    """A connection to discovery that takes all and goes nowhere."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent, self.aborted = b"", False
+
+    def write(self, data: Any) -> None:
+        self.sent += data
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class Bench:
+    """The watching side alone; the test is discovery, and makes each connection when it wants it made."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[int, list[tuple[str, UpstreamState]]]] = []
+        self.directory = Directory(["a"], ["m"])
+        self.discovery = Discovering(("127.0.0.1", 1), self.directory, self.take)
+
+    async def keep(self) -> Wire:
+        self.discovery.keep()
+        return self.connect()
+
+    def connect(self) -> Wire:
+        """The newest watch's connection is up."""
+        watch, wire = self.watch(), Wire()
+        if self.discovery.dial is not None:
+            self.discovery.dial.cancel()  # nobody listens there
+        watch.connection_made(wire)
+        return wire
+
+    def watch(self) -> Watch:
+        assert self.discovery.watch is not None
+        return self.discovery.watch
+
+    def take(self, event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
+        names = {ident: uid for uid, ident in self.directory.idents.items()}
+        self.told.append((event.version, [(names.get(e.id, "gone"), e.state) for e in event.upstreams]))
+
+    def stop(self) -> None:
+        self.discovery.kept = False
+        self.discovery.stop()
+
+
+def lines(*lists: object, indent: int | None = None) -> bytes:
+    return b"".join(json.dumps(each, indent=indent).encode() + b"\n" for each in lists)
+
+
+@pytest.mark.parametrize("indent", [None, 0, 1, 4])
+@pytest.mark.parametrize("size", [1, 7, 100_000])
+def test_lists_may_come_indented_and_in_pieces_of_any_size(indent: int | None, size: int) -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        first = listing(entry("u{0}", 1), entry("u1", 2), rev=3)
+        drained = listing(entry("u1", 2, "leaving"), rev=4, full=False)
+        data = b"\n" + lines(first, indent=indent) + b"\n" + lines(drained, listing(rev=5, full=False), indent=indent)
+        watch = bench.watch()
+        watch.data_received(HEAD)
+        for start in range(0, len(data), size):
+            watch.data_received(piece(data[start:start + size]))
+        ready, draining = UpstreamState.READY, UpstreamState.DRAINING
+        assert bench.told == [(3, [("u{0}", ready), ("u1", ready)]), (4, [("u1", draining)]), (5, [])]
+        assert bench.watch() is watch
+        bench.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("data", [b"garbage\n", b"[1]\n", b'{"rev": 4, "targets": [\n\n', b'{"rev": 4,, }\n', b"7\n",
+                                  b'{\n"rev": 4\n}\n', b'{"rev": 4, "all": true, "targets": [{"uid": "x\n\n'])
+def test_what_is_no_list_changes_nothing_and_the_next_good_one_is_taken(data: bytes) -> None:
+    async def test() -> None:
+        bench = Bench()
+        wire = await bench.keep()
+        bench.watch().data_received(HEAD + piece(lines(listing(entry("u0", 1), rev=3))))
+        bench.watch().data_received(piece(data))
+        assert wire.aborted and len(bench.told) == 1 and bench.discovery.watch is None
+        bench.discovery.subscribe(True)  # as its timer does
+        again = bench.connect()
+        assert b"since=3 " in again.sent
+        bench.watch().data_received(HEAD + piece(lines(listing(entry("u0", 1, "leaving"), rev=4, full=False))))
+        assert bench.told[1:] == [(4, [("u0", UpstreamState.DRAINING)])]
+        bench.stop()
+
+    run(test)
+
+
+def test_an_indented_list_of_thousands_of_lines_is_read_in_moments() -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        data = lines(listing(*(entry(f"u{n}", 1) for n in range(PIECE)), rev=3), indent=2)
+        reads, loads = 0, json.loads
+
+        def counted(text: bytes) -> Any:
+            nonlocal reads
+            reads += 1
+            return loads(text)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(json, "loads", counted)
+            bench.watch().data_received(HEAD + piece(data))
+        assert data.count(b"\n") > 4_000 and len(bench.told) == 1 and reads <= 3
+        bench.stop()
+
+    run(test)
+
+
+def test_a_watch_that_was_replaced_says_nothing_any_more() -> None:
+    async def test() -> None:
+        bench = Bench()
+        old_wire = await bench.keep()
+        old = bench.watch()
+        old.data_received(HEAD + piece(lines(listing(entry("u0", 1), rev=3))))
+        for moved in (True, False):
+            if moved:
+                bench.discovery.move(("127.0.0.1", 2))
+            else:
+                bench.discovery.subscribe(True)
+            assert old_wire.aborted and bench.watch() is not old
+            heard = bench.discovery.heard_at = -1.0
+            old.data_received(piece(lines(listing(entry("u0", 1, "leaving"), rev=9, full=False))))
+            old.connection_lost(None)
+            assert bench.discovery.heard_at == heard and len(bench.told) == 1 and bench.discovery.version == 3
+            old, old_wire = bench.watch(), bench.connect()
+            assert b"since=3 " in old_wire.sent
+            old.data_received(HEAD + piece(b"\n"))
+        bench.stop()
+
+    run(test)
+
+
+def test_of_a_read_that_holds_several_lines_none_counts_once_the_watch_is_replaced() -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        old, take = bench.watch(), bench.take
+
+        def replacing(event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
+            take(event, addresses)
+            bench.discovery.move(("127.0.0.1", 2))  # in the midst of the read
+
+        bench.discovery.listener = replacing
+        old.data_received(HEAD + piece(lines(listing(entry("u0", 1), rev=3), listing(rev=99, full=False))))
+        assert len(bench.told) == 1 and bench.discovery.version == 3 and bench.watch() is not old
+        bench.stop()
+
+    run(test)
+
+
+def test_a_long_list_that_can_not_be_read_changes_nothing() -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        bench.watch().data_received(HEAD + piece(lines(listing(entry("u0", 1), rev=3))))
+        bad = entry("bad", 1) | {"endpoint": "nowhere"}
+        whole = listing(*(entry(f"n{n}", 1) for n in range(2 * PIECE)), bad, rev=4)
+        bench.watch().data_received(piece(lines(whole)))
+        await until(lambda: bench.discovery.watch is None)
+        assert len(bench.told) == 1 and bench.discovery.version == 3 and not bench.discovery.pieces
+        bench.stop()
+
+    run(test)
+
+
+def test_a_drain_in_the_first_bytes_after_an_outage_is_taken_at_once() -> None:
+    async def test() -> None:
+        upstreams, discovery = [Upstream(answering(OK)), Upstream(answering(OK))], Discovery()
+        async with sidecar(*upstreams, discovery=discovery) as it:
+            await discovery.watched()
+            discovery.writers[-1].transport.abort()
+            await discovery.watched()
+            discovery.line(listing(entry("u0", upstreams[0].port, "leaving"), rev=2, full=False))
+            discovery.line(listing(rev=3, full=False))
+            await asyncio.sleep(0.1)
+            for number in range(6):
+                assert status(await it.ask(request(ident=str(number)))) == 200
+            assert len(upstreams[1].requests) == 6
+
+    run(test)
+
+
+@pytest.mark.parametrize("text", ["h:65536", "h:99999999999", "h", ":1", "h:-1", "h:x"])
+def test_an_address_that_no_socket_takes_is_no_address(text: str) -> None:
+    with pytest.raises(ValueError, match="expected host:port"):
+        parse_address(text)
+
+
+@pytest.mark.parametrize("said", [b"", HEAD[:20], HEAD, HEAD + b'8\r\n{"rev": ', HEAD + piece(b"\n"),
+                                  HEAD + piece(lines(listing(entry("u0", 1), rev=3)))])
+def test_wherever_a_watch_falls_silent_it_is_called_for_twice_in_time(said: bytes) -> None:
+    async def test() -> None:
+        bench, loop = Bench(), DrivenLoop()
+        bench.discovery.loop = cast(asyncio.AbstractEventLoop, loop)
+        bench.discovery.keep()
+        watch = bench.watch()
+        if said:
+            watch.connection_made(Wire())
+            watch.data_received(said)
+        before = loop.dials
+        loop.advance(6.9)  # told 6 s after it fell silent, whether it arrived or not, and 1 s of grace
+        assert loop.dials == before + 2 and bench.discovery.watch is not watch
+        bench.discovery.kept = False
+
+    run(test)
