Explore clients that leave and times that are cut short among the module's schedules

The contract's host tells both, and takes a send for a client that has left for a breach; requests of no known tenant come too.

--- a/garnetusher/model/contract.py
+++ b/garnetusher/model/contract.py
@@ -14,6 +14,8 @@
     Action,
     AttemptEnded,
     Cancel,
+    ClientLeft,
+    DueMoved,
     Event,
     Fail,
     FetchList,
@@ -77,6 +79,7 @@
     closed: bool = False
     stream: bool = False
     coming: bool = False  # its body is: no time has begun, and no slot is held
+    left: bool = False  # its client sends nothing more
 
     def may_have_run(self) -> list[Try]:
         return [t for t in self.tries if t.outcome not in NEVER_RAN]
@@ -164,6 +167,19 @@
         self.owed[request].answers = 1
         self.tell(RequestGone(request))
 
+    def leave(self, request: int) -> None:
+        """Its client sends nothing more; what waits for a connection ends unsent, what is out goes on."""
+        self.owed[request].left = True
+        self.tell(ClientLeft(request))
+
+    def hasten(self, request: int, due_us: int) -> None:
+        """Its client has to be answered sooner, and attempts end sooner with that."""
+        owed = self.owed[request]
+        owed.event.due_us = due_us
+        for number in owed.out():
+            owed.tries[number].ends_us = min(due_us, owed.tries[number].ends_us)
+        self.tell(DueMoved(request, due_us))
+
     def advance(self, by_us: int, held_us: int = 0) -> None:
         """Move the clock, with the timers and the attempts' time-outs that fall due on the way. With `held_us` the
         process does not run for so long at first, and what fell due meanwhile comes late, all at once."""
@@ -216,6 +232,7 @@
         entry = self.known[send.upstream]
         kind = self.settings.classes[owed.event.class_index]
         need(not owed.closed, "rule 1", "a send after the end")
+        need(not owed.left, "left", "a send for a client that has left")
         need(len(owed.tries) < self.settings.max_attempts, "contract", "more attempts than allowed")
         need(send.upstream not in self.refused_us, "rule 3", "a send to a draining or gone upstream")
         need(self.settings.second_copies or not owed.out(), "rule 2", "two attempts out together")
--- a/garnetusher/model/explore/module.py
+++ b/garnetusher/model/explore/module.py
@@ -32,6 +32,7 @@
     {"arrive": 60, "fault": 40, "advance": 10, "restart": 2},  # all fails
     {"arrive": 30, "end": 25, "advance": 15, "order": 5, "retune": 5, "fleet": 4, "whole": 8, "passed": 4, "list": 2},
     {"arrive": 30, "end": 25, "advance": 20, "sleep": 3, "stream": 10, "quit": 5, "fault": 10},
+    {"arrive": 40, "end": 15, "advance": 20, "fault": 10, "leave": 10, "hasten": 5, "list": 3},  # clients go, it ends
 ]
 BAD = [api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.RESET]
 
@@ -143,7 +144,7 @@
     # What can happen; numbers are taken modulo what there is
 
     def arrive(self, cls: int, patience_us: int) -> None:
-        self.host.arrive(cls % len(CLASSES), patience_us or None, tenant=cls % 2, retried=patience_us % 5 == 1)
+        self.host.arrive(cls % len(CLASSES), patience_us or None, tenant=cls % 3, retried=patience_us % 5 == 1)
 
     def _out(self) -> list[tuple[int, int]]:
         return [(ident, n) for ident, owed in self.host.owed.items() for n in owed.out()]
@@ -187,6 +188,23 @@
         if open_:
             self.host.quit(open_[which % len(open_)])
 
+    def _open(self, which: int) -> int | None:
+        """A request that has come whole and has no answer, nor the beginning of one."""
+        open_ = [i for i, owed in self.host.owed.items() if not (owed.closed or owed.coming or owed.stream)]
+        return open_[which % len(open_)] if open_ else None
+
+    def leave(self, which: int, _: int) -> None:
+        ident = self._open(which)
+        if ident is not None:
+            self.host.leave(ident)
+
+    def hasten(self, which: int, by: int) -> None:
+        """As at the end of the process: to half of the time that is left, or to none."""
+        ident = self._open(which)
+        if ident is not None:
+            now_us, due_us = self.host.now_us, self.host.owed[ident].event.due_us
+            self.host.hasten(ident, now_us + (max(0, due_us - now_us) // 2 if which % 3 else 0))
+
     def stream(self, which: int, _: int) -> None:
         owed = self.host.owed
         out = [(i, n) for i, n in self._out() if CLASSES[owed[i].event.class_index].stream
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -46,6 +46,11 @@
     patch.setattr(Balancer, "arm", once)
 
 
+def sends_on_for_who_has_left(patch: pytest.MonkeyPatch) -> None:
+    """That a client sends nothing more is not heard."""
+    patch.setattr(Balancer, "on_left", lambda self, request: None)
+
+
 def first_find(seeds: range) -> Find:
     for _, find in explore.explore(Module(), seeds, 120):
         if find is not None:
@@ -54,7 +59,7 @@
 
 
 @pytest.mark.parametrize("bug, rule", [(keeps_a_slot, "slots"), (repeats_after_a_reset, "rule 2"),
-                                       (arms_no_second_timer, "rule 1")])
+                                       (arms_no_second_timer, "rule 1"), (sends_on_for_who_has_left, "left")])
 def test_a_seeded_bug_is_found_made_small_and_played_again(
         bug: Callable[[pytest.MonkeyPatch], None], rule: str, tmp_path: Path,
         monkeypatch: pytest.MonkeyPatch) -> None:
