--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from unittest.mock import ANY
 
 import pytest
 
 from glenkeel.interface import ListKind, Outcome, UpstreamState
 from plovertrail import upstreams as upstreams_module
+from plovertrail.upstreams import Attempt, Connection, Pool
 from tests.net import (
     OK,
     Discovery,
@@ -22,6 +25,7 @@
     until,
 )
 from tests.test_crossing_stop import never_up
+from tests.test_crossing_watch import Wire
 from tests.test_sidecar import run, status
 from tests.world import World, settings, upstreams
 
@@ -88,3 +92,88 @@
         assert upstream.connections == 2
 
     run(test)
+
+
+def test_an_answer_that_comes_with_its_time_out_counts_once() -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(OK)
+            if number == 0:
+                time.sleep(0.5)  # the loop stands still: answer and time-out are both there in its next round
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", "1", b"b", deadline_ms=300))
+            assert status(await read_message(reader)) == 200
+            writer.write(request("pay", "2", b"b"))  # what follows is the next answer, and not a second one
+            head, body = await read_message(reader)
+            assert status((head, body)) == 200 and b"close" not in head
+            writer.close()
+        assert len(upstream.requests) == 2
+
+    run(test)
+
+
+def test_a_connection_that_comes_up_after_its_request_was_given_up_carries_nothing() -> None:
+    async def test() -> None:
+        pool, address = Pool(60_000_000, 1_000_000), ("127.0.0.1", 1)
+        pool.sweeper.cancel()
+        with socket.socket() as sock:
+            ends: list[object] = []
+            attempt = Attempt(pool, address, b"POST", ends.append, lambda head, source: None)
+            connection, wire = Connection(pool, address, sock), Wire()
+            connection.attempt, attempt.connection = attempt, connection
+            attempt.give_up()
+            connection.connection_made(wire)
+            assert wire.sent == b"" and not ends and pool.idle == {address: [connection]}
+
+    run(test)
+
+
+def test_a_connection_on_which_something_came_that_nobody_asked_for_is_not_used_again() -> None:
+    async def test() -> None:
+        closed = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(OK)
+            if number == 0:
+                await asyncio.sleep(0.1)  # the answer is taken, and the connection is idle
+                writer.write(b"HTTP/1.1 408 Request Timeout\r\n")
+                await reader.read()
+                closed.set()
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            assert status(await it.ask(request("pay", "1", b"b"))) == 200
+            await closed.wait()
+            assert status(await it.ask(request("pay", "2", b"b"))) == 200
+        assert upstream.connections == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", ["pay", "read"])
+def test_an_upstream_that_closes_as_it_is_sent_to_costs_what_may_not_be_repeated_only(kind: str) -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if total() == 2:
+                writer.transport.abort()  # the connection was used again, and had just been closed over there
+                raise ConnectionResetError
+            writer.write(OK)
+
+        upstreams = [Upstream(script), Upstream(script)]
+
+        def total() -> int:
+            return sum(len(each.requests) for each in upstreams)
+
+        async with sidecar(*upstreams) as it:
+            body = b"b" if kind == "pay" else b""
+            answers = [status(await it.ask(request(kind, str(number), body))) for number in range(3)]
+            assert answers == ([200, 500, 200] if kind == "pay" else [200, 200, 200])
+            assert total() == (3 if kind == "pay" else 4)
+
+    run(test)
--- a/tests/test_crossing_stop.py
+++ b/tests/test_crossing_stop.py
@@ -12,7 +12,21 @@
 from subprocess import Popen
 from typing import Any
 
-from tests.net import PATIENCE_S, Upstream, answering, entry, listening, listing, read_message, request, silent, until
+import pytest
+
+from tests.net import (
+    OK,
+    PATIENCE_S,
+    Upstream,
+    answering,
+    entry,
+    listening,
+    listing,
+    read_message,
+    request,
+    silent,
+    until,
+)
 from tests.test_long import upload
 from tests.test_program import SETTINGS, configuration, program
 from tests.test_sidecar import run, status
@@ -108,14 +122,16 @@
     run(test)
 
 
-def test_a_long_answer_under_way_is_not_cut_by_a_process_that_ends_by_itself(tmp_path: Path) -> None:
+@pytest.mark.parametrize("size", [100_000, 6_000_000])  # the larger one fills all buffers, as its client does not read
+def test_a_long_answer_under_way_is_not_cut_by_a_process_that_ends_by_itself(tmp_path: Path, size: int) -> None:
     async def test() -> None:
         on = asyncio.Event()
 
         async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
                          writer: asyncio.StreamWriter) -> None:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 70_000)
-            await on.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * (size - 30_000))
+            if size == 100_000:
+                await on.wait()
             writer.write(b"y" * 30_000)
 
         upstream = Upstream(script)
@@ -127,7 +143,7 @@
             await asyncio.sleep(4.0)  # past the soonest SIGKILL, which may come later
             assert process.poll() is None
             on.set()
-            assert await client.reader.readexactly(100_000) == b"x" * 70_000 + b"y" * 30_000
+            assert await client.reader.readexactly(size) == b"x" * (size - 30_000) + b"y" * 30_000
             client.writer.close()
             assert await ended(process) == 0
         upstream.stop()
@@ -135,6 +151,49 @@
     run(test)
 
 
+@pytest.mark.parametrize("signals", [(signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM),
+                                     (signal.SIGTERM, signal.SIGHUP), (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)])
+def test_signals_that_cross_leave_what_is_out_alone(tmp_path: Path, signals: tuple[signal.Signals, ...]) -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        await upstream.start()
+        async with running(tmp_path, upstream.port) as (process, send):
+            client = await send(request("pay", body=b"b"))
+            await until(lambda: len(upstream.requests) == 1)
+            path = tmp_path / "config.json"
+            whole = json.loads(path.read_text())
+            whole["settings"]["request-classes"].reverse()
+            path.write_text(json.dumps(whole))
+            for each in signals:
+                process.send_signal(each)
+            await asyncio.sleep(0.2)
+            go.set()
+            async with asyncio.timeout(PATIENCE_S):
+                assert status(await read_message(client.reader)) == 200
+            client.writer.close()
+            assert await ended(process) == 0
+        upstream.stop()
+
+    run(test)
+
+
+def test_a_process_without_a_list_ends_as_well(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as (process, send):
+            process.send_signal(signal.SIGTERM)
+            assert await (await send(request("pay", body=b"b"))).status() == 503
+            assert await ended(process) == 0
+
+    run(test)
+
+
 def test_short_deadlines_bring_the_last_answers_forward(tmp_path: Path) -> None:
     short: dict[str, Any] = SETTINGS | {"request-classes": [
         {"name": "pay", "aim": 200_000, "deadline": 300_000, "effect": "at_most_once", "worth": 1.0}]}
--- a/tests/test_crossing_watch.py
+++ b/tests/test_crossing_watch.py
@@ -29,6 +29,9 @@
         super().__init__()
         self.sent, self.aborted = b"", False
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
     def write(self, data: Any) -> None:
         self.sent += data
 
@@ -231,3 +234,36 @@
         bench.discovery.kept = False
 
     run(test)
+
+
+def test_a_watch_that_is_replaced_while_its_connection_comes_up_asks_for_nothing() -> None:
+    async def test() -> None:
+        bench = Bench()
+        bench.discovery.keep()
+        old, wire = bench.watch(), Wire()
+        bench.discovery.move(("127.0.0.1", 2))
+        old.connection_made(wire)
+        assert wire.aborted and wire.sent == b"" and bench.watch() is not old
+        assert b"Host: 127.0.0.1:2" in bench.connect().sent
+        bench.stop()
+
+    run(test)
+
+
+def test_a_long_list_is_taken_whole_though_its_watch_ends_and_the_next_begins_before_it() -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        whole = listing(*(entry(f"n{n}", 1) for n in range(3 * PIECE)), rev=4)
+        bench.watch().data_received(HEAD + piece(lines(whole)))
+        bench.watch().connection_lost(None)
+        bench.discovery.subscribe(True)
+        assert b"since=0 " in bench.connect().sent  # hazard: from its version on what is not taken would be lost
+        drained = listing(entry("n7", 1, "leaving"), rev=5, full=False)
+        bench.watch().data_received(HEAD + piece(lines(drained)))
+        await until(lambda: not bench.discovery.pieces)
+        assert bench.discovery.version == 5 and bench.told[-1] == (5, [("n7", UpstreamState.DRAINING)])
+        assert sum(len(entries) for _, entries in bench.told) == 3 * PIECE + 1
+        bench.stop()
+
+    run(test)
