--- a/tests/test_crossing_watch.py
+++ b/tests/test_crossing_watch.py
@@ -267,3 +267,17 @@
         bench.stop()
 
     run(test)
+
+
+def test_a_version_that_goes_back_is_the_version_from_then_on() -> None:
+    async def test() -> None:
+        bench = Bench()
+        await bench.keep()
+        bench.watch().data_received(HEAD + piece(lines(listing(entry("u0", 1), rev=9))))
+        bench.watch().data_received(piece(lines(listing(entry("u1", 1), rev=3))))  # a service that lost what it had
+        assert bench.told[-1] == (3, [("u1", UpstreamState.READY)])
+        bench.discovery.subscribe(True)
+        assert b"since=3 " in bench.connect().sent
+        bench.stop()
+
+    run(test)
