Recall what waits for a connection also when a list names nobody any more

A whole list without entries forgot all upstreams, but what waited for connections to them went on waiting, as Host.list_changed looked for entries. Test seen to fail without the mend: refused at once, not after 20 s.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -243,7 +243,7 @@
             if entry.state is not api.UpstreamState.READY:
                 self._forget(entry.id)
         self._tell(event)
-        if event.upstreams:
+        if event.kind is not api.ListKind.FAILED:
             self._recall()
 
     def _recall(self) -> None:
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -50,6 +50,24 @@
     run(test)
 
 
+def test_what_waits_for_a_connection_where_nobody_is_listed_any_more_is_refused_at_once() -> None:
+    async def test() -> None:
+        discovery = Discovery()
+        with never_up() as port:
+            async with sidecar(known=listing(entry("u0", port)), discovery=discovery,
+                               connect_timeout_us=60_000_000) as it:
+                await discovery.watched()
+                reader, writer = await it.connect()
+                writer.write(request("pay", body=b"b", deadline_ms=60_000))
+                await asyncio.sleep(0.1)
+                discovery.line(listing(rev=2))
+                async with asyncio.timeout(10):  # its own time is up after 20 s
+                    assert status(await read_message(reader)) == 503
+                writer.close()
+
+    run(test)
+
+
 def test_what_was_not_sent_is_placed_again_within_its_attempts() -> None:
     for most, expected in ((4, 2), (1, 1)):
         world = World(settings(max_attempts=most, second_copies=False))
