Close at once after the answer to a client that sends no more

Found on rereading: end() keeps a connection for a second lest unread bytes reset the client's answer. After the end of the client's sending nothing unread can come; kept all the same, a burst of clients that left would hold a descriptor each for a second, and not count among the idle that make room. The 11 client and idle crossings pass.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -122,6 +122,7 @@
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
         self.ending = False  # what still comes is not read any more
+        self.left = False  # its client sends nothing more
         self.leaving = False  # it closes unless a request of it is here
         self.blocked_us = 0  # since when what we write is not taken
         self.unwritten = 0  # and how much of it is left, as last seen
@@ -161,7 +162,7 @@
         before something is written; so nothing is sent on for it from now on, and it gets an answer."""
         if not (self.open and self.whole):
             return False
-        self.last = True
+        self.last = self.left = True
         self.server.host.left(self.ident)
         return True
 
@@ -450,6 +451,9 @@
         """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
         assert self.transport is not None
         self.ending = True
+        if self.left:  # nothing unread can come, and a burst of clients that left would hold descriptors for a second
+            self.transport.close()
+            return
         self.transport.resume_reading()
         self.transport.write_eof()
         self.quiet_us = clock_us()
--- a/tests/test_crossing_clients.py
+++ b/tests/test_crossing_clients.py
@@ -110,6 +110,7 @@
             go.set()
             assert status(await read_message(reader)) == 503
             assert sum(len(each.requests) for each in upstreams) == 1
+            assert await reader.read() == b""
             writer.close()
 
     run(test)
