Open a silent watch anew in time also where the list is asked for

Seen by reading: where the list is asked for, Discovery.check told a silent watch to the module as a failed call, and the module of a large fleet spreads its next call over up to 8 s (backoff_us). Silence is noticed after 3 s, and STANDING has one clock for silence: what it hides counts as told after 6 s.

Change: a watch that was answered and has fallen silent is called for again once by the network side, 0.25 s later; the module is told if that call fails. Heartbeats are 2 s apart, so a fleet does so over 2 s. Test fails without it.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -172,16 +172,17 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.fail()
 
-    def fail(self) -> None:
+    def fail(self, again: bool = False) -> None:
         if self.transport is not None:
             self.transport.abort()
-        self.discovery.ended(self)
+        self.discovery.ended(self, again)
 
 
 class Discovery:
     """Holds the watch on the list's changes: for good, or as the module asks for it.
 
-    Where the module asks, it is told how each call fails; a watch kept for good is called for again here.
+    Where the module asks, it is told how each call fails; a watch kept for good is called for again here, and so is,
+    once, one that was answered and has fallen silent. Those of a fleet do so spread over the 2 s between empty lines.
     """
 
     def __init__(self, address: Address, directory: Directory, listener: Listener) -> None:
@@ -257,7 +258,8 @@
             self.timer = self.loop.call_later(left, self.check)
         else:
             log.warning("the watch is silent")
-            self.watch.fail()
+            # hazard: what it hides counts as told 6 s after it fell silent; the module's next call may be later
+            self.watch.fail(again=self.watch.answered)
 
     def changed(self, lines: Any) -> None:
         """Take a change, or the whole list; a long one in pieces, between which requests go on, once all of them have
@@ -302,11 +304,11 @@
                 if self.watch is not None:
                     self.watch.fail()
 
-    def ended(self, watch: Watch) -> None:
+    def ended(self, watch: Watch, again: bool = False) -> None:
         if watch is not self.watch:
             return
         self.stop()
-        if self.kept:
+        if self.kept or again:
             self.timer = self.loop.call_later(CALL_AGAIN_S, self.subscribe, True)
         else:
             self.listener(UpstreamsUpdated(ListKind.FAILED), {})
--- a/tests/test_crossing_watch.py
+++ b/tests/test_crossing_watch.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from glenkeel.interface import UpstreamState, UpstreamsUpdated
+from glenkeel.interface import ListKind, UpstreamState, UpstreamsUpdated
 from plovertrail.config import parse_address
 from plovertrail.discovery import PIECE, Address, Directory, Watch
 from plovertrail.discovery import Discovery as Discovering
@@ -284,3 +284,25 @@
         bench.stop()
 
     run(test)
+
+
+def test_a_silent_watch_that_was_asked_for_is_opened_anew_in_time_and_the_module_told_if_that_fails() -> None:
+    """However late the module of a large fleet would call: silence has one clock."""
+    async def test() -> None:
+        told: list[ListKind] = []
+        bench, loop = Bench(), DrivenLoop()
+        bench.discovery.listener = lambda event, addresses: told.append(event.kind)
+        bench.discovery.loop = cast(asyncio.AbstractEventLoop, loop)
+        bench.discovery.subscribe(True)
+        bench.watch().connection_made(Wire())
+        bench.watch().data_received(HEAD + piece(b"\n"))
+        loop.advance(4.0)
+        assert (loop.dials, told) == (2, [])
+        bench.watch().connection_made(Wire())
+        bench.watch().data_received(HEAD + piece(b"\n"))
+        loop.advance(8.0)  # and silent again
+        assert (loop.dials, told) == (3, [])
+        loop.advance(12.0)  # nobody answers
+        assert (loop.dials, told) == (3, [ListKind.FAILED])
+
+    run(test)
