Begin no repeat whose connection comes up after upstreams may have forgotten the first

Cause: for a deduplicated class the module checks the memory-span when it decides on a repeat (Balancer.may_send), but the repeat is written when its connection is up, up to the connect time-out later, and nothing asked again. A repeat decided shortly before the end of the window so ran after it: the rule on duplicates. Lines: Balancer.send, Host._send. Seen: a forced crossing; the client was not answered either, as the attempt waited on. Ruled out: the module's own clock (the window counts from its send, which is no later than the first's write); settling (10 ms, within the slack of 50 ms); a repeat not decided near the end, which would cost every class with a short window. Change: Send.start_by_us; the host takes back what is not begun by then, as it does what a list recalls, in one place (Host._take_back), and the request is answered at once. The contract of the module's schedules asks for it.

--- a/garnetusher/model/contract.py
+++ b/garnetusher/model/contract.py
@@ -240,6 +240,7 @@
             need(kind.effect != "at_most_once", "rule 2", "an unsafe request sent again")
             if kind.effect == "deduplicated":
                 need(self.now_us - earlier.sent_us <= kind.memory_us, "rule 2", "past the memory")
+                need(0 < send.start_by_us <= earlier.sent_us + kind.memory_us, "rule 2", "may begin past the memory")
                 need(kind.group != "cell" or entry.cell == earlier.cell, "rule 2", "outside the cell")
                 need(kind.group != "zone" or entry.zone == earlier.zone, "rule 2", "outside the zone")
         ends_us = owed.event.due_us
--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -497,13 +497,16 @@
         pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
         pool.use(server, self.now_us)
         self.retries = min(MOST_RETRIES, self.retries + (RETRY_SHARE if not request.attempts else -1.0))
+        first, rules = request.first_that_may_have_run(), request.kind.rules
+        # hazard: upstreams may have forgotten what ran by the time a connection to this one comes up
+        start_by_us = first.sent_us + rules.memory_us if first is not None and rules.effect == "deduplicated" else 0
         request.attempts.append(Attempt(server, self.now_us))
         if request.whole:  # hazard: bodies that take seconds to come would hold the slots of all others
             self.take_slot(request.attempts[-1])
         elif cohort is not None:
             pool.weigh(server, self.now_us)
-        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
-        if self.settings.second_copies and request.kind.rules.effect != "at_most_once" and request.whole:
+        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request), start_by_us))
+        if self.settings.second_copies and rules.effect != "at_most_once" and request.whole:
             # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * request.kind.mean_us), request.kind.half_aim_us)
             self.wake(self.now_us + after_us, "copy", request.event.request)
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -298,6 +298,7 @@
     request: int
     upstream: int
     timeout_us: int = 0  # 0 = until the client quits
+    start_by_us: int = 0  # a connection that comes up later carries it no more; 0 = any may
 
 
 @dataclass(slots=True)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -251,10 +251,8 @@
         up long after we were told that the upstream drains, and the request would be written to it then."""
         for request in list(self.requests.values()):
             for number, attempt in enumerate(request.attempts):
-                flight, address = attempt.flight, self.addresses.get(attempt.upstream)
-                if flight is not None and not flight.written and attempt.address != address:
-                    flight.give_up()
-                    self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
+                if attempt.address != self.addresses.get(attempt.upstream):
+                    self._take_back(request, number)
 
     def zones(self, names: list[str]) -> list[dict[str, object]]:
         """What the module believes of each zone, and why."""
@@ -369,10 +367,15 @@
 
     def _keep_back(self, request: Request) -> None:
         """What still waits for a connection is not sent."""
-        for number, attempt in enumerate(request.attempts):
-            if attempt.flight is not None and not attempt.ended and not attempt.flight.written:
-                attempt.flight.give_up()
-                self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
+        for number in range(len(request.attempts)):
+            self._take_back(request, number)
+
+    def _take_back(self, request: Request, number: int) -> None:
+        """Not to be sent any more, if it still waits for a connection."""
+        flight = request.attempts[number].flight
+        if flight is not None and not flight.written:
+            flight.give_up()
+            self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
 
     def _drop_if_done(self, request: Request) -> None:
         if request.over and all(attempt.ended for attempt in request.attempts):
@@ -400,6 +403,8 @@
             address, request.call, min(action.timeout_us or left_us, left_us),
             lambda result: self._end_attempt(request, number, result),
             lambda head, source: self._began(request, number, head, source))
+        if action.start_by_us:
+            self._at(action.start_by_us, self._take_back, request, number)
 
     def _time(self, request: Request, number: int) -> None:
         """Start the clock of an attempt."""
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from glenkeel.interface import ListKind, Outcome, UpstreamState
+from glenkeel.interface import ListKind, Outcome, RequestClass, UpstreamState
 from plovertrail import upstreams as upstreams_module
 from plovertrail.upstreams import Attempt, Connection, Pool
 from tests.net import (
@@ -22,10 +22,11 @@
     read_message,
     request,
     sidecar,
+    until,
 )
 from tests.test_crossing_stop import never_up
 from tests.test_crossing_watch import Wire
-from tests.test_sidecar import run, status
+from tests.test_sidecar import ERROR, run, status
 from tests.world import World, settings, upstreams
 
 
@@ -92,6 +93,42 @@
     run(test)
 
 
+@pytest.mark.parametrize(("group", "expected"), [("all", 503), ("cell", 500)])
+def test_a_repeat_that_waits_for_a_connection_is_not_sent_once_the_memory_is_over(group: str, expected: int) -> None:
+    """It is answered then, and not when its own time is up after 15 s."""
+    kind = RequestClass("mark", aim_us=20_000_000, deadline_us=20_000_000, effect="deduplicated", group=group,
+                        memory_us=1_000_000)
+
+    async def test() -> None:
+        go, discovery = asyncio.Event(), Discovery()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(ERROR)
+
+        first = Upstream(script)
+        await first.start()
+        with never_up() as port:
+            async with sidecar(known=listing(entry("u0", first.port)), discovery=discovery, classes=[kind],
+                               connect_timeout_us=60_000_000) as it:
+                await discovery.watched()
+                asked = asyncio.create_task(it.ask(request("mark", body=b"b")))
+                await until(lambda: len(first.requests) == 1)
+                discovery.line(listing(entry("u1", port), rev=2, full=False))
+                reader, writer = await it.connect()
+                writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+                await read_message(reader)  # the list is taken by then
+                writer.close()
+                go.set()
+                async with asyncio.timeout(10):
+                    assert status(await asked) == expected
+        assert len(first.requests) == 1
+        first.stop()
+
+    run(test)
+
+
 def test_what_was_not_sent_is_placed_again_within_its_attempts() -> None:
     for most, expected in ((4, 2), (1, 1)):
         world = World(settings(max_attempts=most, second_copies=False))
