Read what a resting new connection holds before it closes at the end of its time

Cause: Client.check closed a connection that had sent nothing for 2.7 s with Client.close, at once, where all other closings of idle connections look twice first (close_soon). Seen: a forced crossing, the request written between the loop's last look and the check of times: the connection ends with no answer. Ruled out: connections that have carried a request (never closed by this check), half-read ones (answered 408). Change: one line, close_soon for close. test_a_whole_request_is_waited_for_less_than_3_s asserted that the connection ends within the check's own call; it now asserts the same two rounds of the loop later, at the same time by the check's clock.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -534,7 +534,7 @@
             if self.begun_us:
                 self.turn_away(408)
             else:
-                self.close()
+                self.close_soon()
 
 
 class Server:
--- a/tests/test_crossing_idle.py
+++ b/tests/test_crossing_idle.py
@@ -8,6 +8,7 @@
 import pytest
 
 from plovertrail import server as server_module
+from plovertrail.server import Server
 from tests.net import OK, Upstream, answering, request, sidecar
 from tests.test_sidecar import run, status
 
@@ -61,6 +62,30 @@
     run(test)
 
 
+def test_the_first_request_of_a_connection_that_rested_is_served_though_its_time_is_just_up(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        resting: list[socket.socket] = []
+        check = Server.check
+
+        def look(server: Server) -> None:
+            if resting and len(server.clients) != 1:  # the fixture's own connection is still there
+                asyncio.get_running_loop().call_later(0.01, look, server)
+                return
+            if resting:
+                resting.pop().send(request())  # after the loop's last look, and before the look at the time
+            check(server)
+
+        monkeypatch.setattr(Server, "check", look)
+        async with sidecar(Upstream(answering(OK))) as it:
+            monkeypatch.setattr(server_module, "LONGEST_READ_US", 0)
+            with socket.create_connection(("127.0.0.1", it.port)) as sock:
+                resting.append(sock)
+                assert await answer_of(sock) == 200
+
+    run(test)
+
+
 @pytest.mark.parametrize("rounds", range(4))
 def test_the_oldest_connection_does_not_make_room_once_its_request_is_here(rounds: int) -> None:
     async def test() -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -427,6 +427,8 @@
         client.check(since_us + 2_400_000)
         assert not client.ending
         client.check(since_us + 2_900_000)
+        for _ in range(2):  # rounds of the loop, in which a request that is here after all would be read
+            await asyncio.sleep(0)
         assert client.ending
 
     run(test)
