End a given-up attempt's connection before what takes its place can be written

Cause: Connection.close aborts, and asyncio closes the socket in the loop's next round. Lines: Connection.close. Seen: a forced crossing on a socket pair: after give_up the peer has no end yet. Ruled out: the order in Host._give_up (it gives up first, then tells the module).

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
@@ -382,10 +383,14 @@
             self.finish(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
 
     def close(self) -> None:
+        """Hazard: the loop closes the socket in its next round, and what takes the place of an attempt that is given up
+        may be written in this one, where two may not be out together; so the upstream is told now."""
         self.closed = True
         self.pool.remove(self)
         self.pool.passing.discard(self)
         if self.transport is not None:
+            with contextlib.suppress(OSError):  # its end has come first
+                self.sock.shutdown(socket.SHUT_WR)
             self.transport.abort()
 
 
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -194,6 +194,24 @@
     run(test)
 
 
+def test_an_attempt_that_is_given_up_has_ended_over_there_before_another_can_be_written() -> None:
+    async def test() -> None:
+        pool, address = Pool(60_000_000, 1_000_000), ("127.0.0.1", 1)
+        pool.sweeper.cancel()
+        here, there = socket.socketpair()
+        with here, there:
+            here.setblocking(False)
+            connection = Connection(pool, address, here)
+            await asyncio.get_running_loop().create_connection(lambda: connection, sock=here)
+            attempt = Attempt(pool, address, b"POST", lambda result: None, lambda head, source: None)
+            pool.remove(connection)
+            connection.send(attempt)
+            attempt.give_up()  # no round of the loop after it
+            assert (there.recv(100), there.recv(100, socket.MSG_DONTWAIT)) == (b"POST", b"")
+
+    run(test)
+
+
 def test_an_answer_that_comes_with_its_time_out_counts_once() -> None:
     async def test() -> None:
         async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
