End an attempt, and a call to discovery, whose host's name can't be one

Cause: an endpoint whose host no encoding of names takes (an empty label, one over 63 letters, a NUL) raises ValueError out of the connecting, where Pool.dial and Discovery.connect expected OSError alone: the task died with its socket open, the attempt hung till its time-out (the request's whole time for what may not be repeated), the call till silence was noticed. Ruled out: refusing such a list as unreadable, which would lose the drains in it for one bad line. Change: both take ValueError too.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -243,7 +243,7 @@
     async def connect(self, watch: Watch) -> None:
         try:
             await self.loop.create_connection(lambda: watch, *self.address)
-        except OSError:
+        except (OSError, ValueError):  # or no host's name
             self.ended(watch)
 
     def heard(self) -> None:
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -472,7 +472,7 @@
                 await self.loop.sock_connect(sock, address)
             made = connection
             await self.loop.create_connection(lambda: made, sock=sock)
-        except OSError:  # refused, unreachable, no descriptor left, or not up in time
+        except (OSError, ValueError):  # refused, unreachable, no descriptor left, not up in time, or no host's name
             if sock is not None:
                 sock.close()
             waiting = connection.attempt if connection is not None else attempt
--- a/tests/test_crossing_watch.py
+++ b/tests/test_crossing_watch.py
@@ -220,6 +220,21 @@
         parse_address(text)
 
 
+@pytest.mark.parametrize("host", ["a..b", "a\0b", "x" * 64])
+def test_a_host_that_has_no_address_ends_an_attempt_and_a_call_at_once(host: str) -> None:
+    async def test() -> None:
+        nowhere = entry("u0", 1) | {"endpoint": f"{host}:1"}
+        async with sidecar(known=listing(nowhere), connect_timeout_us=60_000_000) as it:
+            async with asyncio.timeout(10):  # its own time is up after 15 s
+                assert status(await it.ask(request("pay", body=b"b"))) == 503
+        told: list[ListKind] = []
+        discovery = Discovering((host, 1), Directory(["a"], ["m"]), lambda event, addresses: told.append(event.kind))
+        discovery.subscribe(True)
+        await until(lambda: told == [ListKind.FAILED])
+
+    run(test)
+
+
 @pytest.mark.parametrize("said", [b"", HEAD[:20], HEAD, HEAD + b'8\r\n{"rev": ', HEAD + piece(b"\n"),
                                   HEAD + piece(lines(listing(entry("u0", 1), rev=3)))])
 def test_wherever_a_watch_falls_silent_it_is_called_for_twice_in_time(said: bytes) -> None:
