Start no clock at a long body's end once its answer has begun

Cause: Host._began stops every clock of a request, as its answer is long and comes as its client reads. But the last byte of the body can come after that, and Host.whole started the request's and the attempt's clocks anew: at the deadline the attempt was given up and the answer under way cut off, which loses the request. Lines: Host.whole. Seen: a forced crossing, an upstream that begins its answer one byte before the body's end: the client is reset 0.5 s later. Ruled out: the module's time-out (it is bound by then and sends nothing), a stalled reader (ten seconds). Change: an answer that has begun is left without a clock.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -192,6 +192,8 @@
         if request is None or request.over or request.whole:
             return
         request.whole = True
+        if request.bound >= 0:
+            return  # hazard: its answer has begun, and no clock may cut that any more
         request.call.arrived_us = now_us = clock_us()
         self._set_due(request, self._due_us(request.call))
         for number, attempt in enumerate(request.attempts):
