Break an answer that has begun where the rest of its body fails, and write nothing into it

Cause: Client.turn_away answers what goes wrong with a request that is still coming (malformed, stalled, its client gone) and did not ask whether a long answer to it had begun. Its 400, 408 or 503 was written into the body of that answer, and the client read it as the upstream's bytes: served with what no upstream made. A client that ended its sending side had its answer ended by a mere end, which without a length looks whole. Lines: Client.turn_away, Client.eof_received. Seen: three forced crossings; in the second the client's body held 'HTTP/1.1 408 Request Timeout'. Ruled out: the end of the process (it passes over what has a source), room and enter (nothing has begun there). Change: such an answer is reset, as one that its upstream breaks off.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -161,6 +161,8 @@
         """Its client sends nothing more. Hazard: whether it has left or only waits for its answer no socket tells
         before something is written; so nothing is sent on for it from now on, and it gets an answer."""
         if not (self.open and self.whole):
+            if self.source is not None:
+                self.turn_away(400)  # a mere end would make the answer to half a body look whole
             return False
         self.last = self.left = True
         self.server.host.left(self.ident)
@@ -284,8 +286,12 @@
         self.turn_away(reject.status, str(reject).encode() + b"\n")
 
     def turn_away(self, status: int, body: bytes = b"", head: bytes = b"") -> None:
+        begun = self.source is not None
         self.drop()
-        self.write(status, body, head, last=True)
+        if begun:  # hazard: what is written now would be read as part of the answer
+            self.finish(whole=False)
+        else:
+            self.write(status, body, head, last=True)
 
     def refuse_unread(self, after_us: int = SOON_US) -> None:
         """It has not come whole, and so has not run."""
--- a/tests/test_crossing_long.py
+++ b/tests/test_crossing_long.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
+import pytest
+
+from plovertrail.server import Client
 from tests.net import request, sidecar
-from tests.test_long import LONG, Raw
+from tests.test_crossing_idle import answer_of
+from tests.test_long import LONG, Raw, upload
 from tests.test_sidecar import run, status
 
 DEADLINE_S = 0.5
@@ -36,3 +41,31 @@
             writer.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("how", ["malformed", "stalls", "leaves"])
+def test_nothing_is_written_into_an_answer_that_has_begun(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What goes wrong with the rest of its body then ends the answer in a way that its client can tell."""
+    async def test() -> None:
+        async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(80_000)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG[:100_000])
+            await reader.read()
+
+        async with sidecar(Raw(play)) as it:
+            with socket.create_connection(("127.0.0.1", it.port)) as sock:
+                whole = upload(LONG, 1000)
+                sock.sendall(whole[:100_000])
+                assert await answer_of(sock) == 200
+                if how == "malformed":
+                    sock.sendall(b"no chunk\r\n" * 200)  # over the end of the one that is open
+                elif how == "stalls":  # till its time is up, which is now
+                    monkeypatch.setattr(Client, "limit_us", property(lambda it: 0, lambda it, to: None), raising=False)
+                else:
+                    sock.shutdown(socket.SHUT_WR)
+                with pytest.raises(ConnectionResetError):
+                    while data := await asyncio.get_running_loop().sock_recv(sock, 65536):
+                        assert b"HTTP/1.1" not in data
+
+    run(test)
