--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -108,6 +108,23 @@
         assert process.returncode == (1 if how != signal.SIGKILL else -signal.SIGKILL)
 
 
+def test_an_interrupt_ends_a_lab_whose_parent_ignored_it(tmp_path: Path) -> None:
+    """A shell without job control starts what it runs in the background so, and the disposition is inherited."""
+    file, log = tmp_path / "it.toml", tmp_path / "out" / "lab.log"
+    file.write_text(text(seconds=60, more='[[fault]]\nat_s = 0.2\nwhat = "stop"\nwhere = { sidecar = "a-0" }'))
+    process = lab("run", str(file), "--out", str(log.parent), start_new_session=True,
+                  preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN))
+    try:
+        while not (log.exists() and "lab.fault.applied" in log.read_text()):
+            assert process.poll() is None
+            time.sleep(0.05)
+        process.send_signal(signal.SIGINT)
+        process.communicate(timeout=30)
+    finally:
+        process.kill()
+    assert process.returncode == 1
+
+
 def test_a_sidecar_that_dies_at_its_start_ends_the_play_with_its_last_lines(tmp_path: Path) -> None:
     it = small()
     broken = tree(tmp_path, "echo first >&2; echo no good reason >&2; exit 3")
