End a lab on SIGINT also where it was started with SIGINT ignored

Cause: a shell without job control starts background jobs with SIGINT ignored. Python then installs no handler and asyncio.run none either, so SIGINT to the lab did nothing: the flaky failure of nothing_outlives_an_interrupt.

Change: the lab handles SIGINT as it does SIGTERM, whatever it inherited.

--- a/garnetusher/lab/play.py
+++ b/garnetusher/lab/play.py
@@ -114,7 +114,8 @@
     """Play it; raises LabError where it can't be played. Whatever happens, nothing it started is left behind."""
     (out / "logs").mkdir(parents=True, exist_ok=True)
     (out / "parts").mkdir(exist_ok=True)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, _cancel(asyncio.current_task()))
+    for number in (signal.SIGINT, signal.SIGTERM):  # SIGINT may have been inherited as ignored
+        asyncio.get_running_loop().add_signal_handler(number, _cancel(asyncio.current_task()))
     it = _Play(experiment, plan, tree.resolve(), out.resolve(), progress)
     try:
         return await it.run()
