List three red tests: the time told, clients that left in a hold-up, accept that fails

Seen: X-Deadline-Ms 1400 with 474 ms left; ten of ten requests sent on whose clients had closed; a client waits 1.0 s after one ENFILE, EMFILE, ENOBUFS or ENOMEM of accept.

--- /dev/null
+++ b/garnetusher/lab/syscall_faults.c
@@ -0,0 +1,286 @@
+/* Makes system calls of one process fail, or transfer less than asked, by a plan in a file that it shares with the lab.
+ *
+ * Loaded with LD_PRELOAD. GARNETUSHER_FAULTS names the file; its layout is that of garnetusher/lab/syscall_faults.py.
+ * Without it, and in programs that are not Python, nothing is changed. A fault never makes a call that it fails: the
+ * caller sees the error and the kernel sees nothing. Sockets of other families than AF_INET are left alone, so the
+ * event loop's own wake-up channel works on.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+enum call { ACCEPT, SOCKET, CONNECT, BIND, LISTEN, RECV, SEND, EPOLL_WAIT, EPOLL_CTL, EPOLL_CREATE, SETSOCKOPT,
+            GETSOCKOPT, SHUTDOWN, POLL, OPEN, WRITE, CALLS };
+
+#define RECORDS 64
+#define SHORT_TRANSFER (-1) /* in place of an error: the call moves fewer bytes than asked */
+
+struct record {
+    int32_t call;
+    int32_t error;
+    uint32_t per_mille; /* of the calls in its time */
+    int32_t left;       /* so many more calls fail; negative: any number */
+    int64_t from_ns, until_ns; /* of the monotonic clock */
+};
+
+struct board {
+    uint32_t seed, used;
+    int64_t wall_step_ns; /* added to the wall clock */
+    int64_t hits[CALLS];  /* calls that were changed */
+    int64_t calls[CALLS]; /* calls made */
+    struct record records[RECORDS];
+};
+
+static struct board *board;
+static uint32_t random_state;
+static int (*real_clock_gettime)(clockid_t, struct timespec *);
+
+__attribute__((constructor)) static void load(void) {
+    const char *path = getenv("GARNETUSHER_FAULTS");
+    real_clock_gettime = dlsym(RTLD_NEXT, "clock_gettime");
+    if (path == NULL || strncmp(program_invocation_short_name, "python", 6) != 0)
+        return;
+    int (*real_open)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
+    int fd = real_open(path, O_RDWR | O_CLOEXEC);
+    if (fd < 0)
+        return;
+    void *mapped = mmap(NULL, sizeof(struct board), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (mapped == MAP_FAILED)
+        return;
+    board = mapped;
+    random_state = board->seed | 1;
+}
+
+static uint32_t draw(void) { /* xorshift32: Marsaglia, "Xorshift RNGs", 2003 */
+    random_state ^= random_state << 13;
+    random_state ^= random_state >> 17;
+    random_state ^= random_state << 5;
+    return random_state;
+}
+
+/* The error for this call, SHORT_TRANSFER, or 0 to let it through. */
+static int fault(enum call call) {
+    if (board == NULL)
+        return 0;
+    __atomic_fetch_add(&board->calls[call], 1, __ATOMIC_RELAXED);
+    uint32_t used = __atomic_load_n(&board->used, __ATOMIC_ACQUIRE);
+    if (used == 0)
+        return 0;
+    struct timespec now;
+    real_clock_gettime(CLOCK_MONOTONIC, &now);
+    int64_t now_ns = now.tv_sec * 1000000000LL + now.tv_nsec;
+    for (uint32_t i = 0; i < used && i < RECORDS; i++) {
+        struct record *it = &board->records[i];
+        if (it->call != (int32_t)call || now_ns < it->from_ns || now_ns >= it->until_ns || it->left == 0)
+            continue;
+        if (draw() % 1000 >= it->per_mille)
+            continue;
+        if (it->left > 0)
+            it->left--;
+        __atomic_fetch_add(&board->hits[call], 1, __ATOMIC_RELAXED);
+        return it->error;
+    }
+    return 0;
+}
+
+static int is_tcp(int fd) {
+    int domain = 0;
+    socklen_t size = sizeof domain;
+    static int (*real)(int, int, int, void *, socklen_t *);
+    if (real == NULL)
+        real = dlsym(RTLD_NEXT, "getsockopt");
+    return board != NULL && real(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
+}
+
+#define REAL(result, name, ...) \
+    static result (*real)(__VA_ARGS__); \
+    if (real == NULL) \
+        real = dlsym(RTLD_NEXT, name)
+
+#define FAIL_IF(condition, call) \
+    do { \
+        int error_ = (condition) ? fault(call) : 0; \
+        if (error_ > 0) { \
+            errno = error_; \
+            return -1; \
+        } \
+    } while (0)
+
+int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags) {
+    REAL(int, "accept4", int, struct sockaddr *, socklen_t *, int);
+    FAIL_IF(is_tcp(fd), ACCEPT);
+    return real(fd, address, size, flags);
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *size) { return accept4(fd, address, size, 0); }
+
+int socket(int domain, int type, int protocol) {
+    REAL(int, "socket", int, int, int);
+    FAIL_IF(domain == AF_INET, SOCKET);
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t size) {
+    REAL(int, "connect", int, const struct sockaddr *, socklen_t);
+    FAIL_IF(is_tcp(fd), CONNECT);
+    return real(fd, address, size);
+}
+
+int bind(int fd, const struct sockaddr *address, socklen_t size) {
+    REAL(int, "bind", int, const struct sockaddr *, socklen_t);
+    FAIL_IF(is_tcp(fd), BIND);
+    return real(fd, address, size);
+}
+
+int listen(int fd, int backlog) {
+    REAL(int, "listen", int, int);
+    FAIL_IF(is_tcp(fd), LISTEN);
+    return real(fd, backlog);
+}
+
+int shutdown(int fd, int how) {
+    REAL(int, "shutdown", int, int);
+    FAIL_IF(is_tcp(fd), SHUTDOWN);
+    return real(fd, how);
+}
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t size) {
+    REAL(int, "setsockopt", int, int, int, const void *, socklen_t);
+    FAIL_IF(is_tcp(fd), SETSOCKOPT);
+    return real(fd, level, name, value, size);
+}
+
+int getsockopt(int fd, int level, int name, void *value, socklen_t *size) {
+    REAL(int, "getsockopt", int, int, int, void *, socklen_t *);
+    FAIL_IF(is_tcp(fd), GETSOCKOPT);
+    return real(fd, level, name, value, size);
+}
+
+/* How much a transfer of `size` bytes may move; -1 with errno set if it fails. */
+static ssize_t allowed(enum call call, int fd, size_t size) {
+    int error = is_tcp(fd) ? fault(call) : 0;
+    if (error > 0) {
+        errno = error;
+        return -1;
+    }
+    return error == SHORT_TRANSFER && size > 1 ? 1 + (ssize_t)(draw() % (size - 1)) : (ssize_t)size;
+}
+
+ssize_t recv(int fd, void *buffer, size_t size, int flags) {
+    REAL(ssize_t, "recv", int, void *, size_t, int);
+    ssize_t most = allowed(RECV, fd, size);
+    return most < 0 ? -1 : real(fd, buffer, (size_t)most, flags);
+}
+
+ssize_t send(int fd, const void *buffer, size_t size, int flags) {
+    REAL(ssize_t, "send", int, const void *, size_t, int);
+    ssize_t most = allowed(SEND, fd, size);
+    return most < 0 ? -1 : real(fd, buffer, (size_t)most, flags);
+}
+
+ssize_t sendmsg(int fd, const struct msghdr *message, int flags) {
+    REAL(ssize_t, "sendmsg", int, const struct msghdr *, int);
+    if (allowed(SEND, fd, 1) < 0)
+        return -1;
+    return real(fd, message, flags);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    REAL(int, "epoll_wait", int, struct epoll_event *, int, int);
+    FAIL_IF(1, EPOLL_WAIT);
+    return real(fd, events, most, timeout);
+}
+
+int epoll_ctl(int fd, int operation, int other, struct epoll_event *event) {
+    REAL(int, "epoll_ctl", int, int, int, struct epoll_event *);
+    FAIL_IF(operation != EPOLL_CTL_DEL && is_tcp(other), EPOLL_CTL);
+    return real(fd, operation, other, event);
+}
+
+int epoll_create1(int flags) {
+    REAL(int, "epoll_create1", int);
+    FAIL_IF(1, EPOLL_CREATE);
+    return real(flags);
+}
+
+int poll(struct pollfd *fds, nfds_t count, int timeout) {
+    REAL(int, "poll", struct pollfd *, nfds_t, int);
+    FAIL_IF(1, POLL);
+    return real(fds, count, timeout);
+}
+
+/* Of files only the configuration is meant: a name that ends in .json. */
+static int is_configuration(const char *path) {
+    size_t size = strlen(path);
+    return size > 5 && strcmp(path + size - 5, ".json") == 0;
+}
+
+int open64(const char *path, int flags, ...) {
+    REAL(int, "open64", const char *, int, ...);
+    va_list rest;
+    va_start(rest, flags);
+    int mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(rest, int) : 0;
+    va_end(rest);
+    FAIL_IF(is_configuration(path), OPEN);
+    return real(path, flags, mode);
+}
+
+int open(const char *path, int flags, ...) {
+    va_list rest;
+    va_start(rest, flags);
+    int mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(rest, int) : 0;
+    va_end(rest);
+    return open64(path, flags, mode);
+}
+
+ssize_t write(int fd, const void *buffer, size_t size) {
+    REAL(ssize_t, "write", int, const void *, size_t);
+    FAIL_IF(fd == 2, WRITE);
+    return real(fd, buffer, size);
+}
+
+/* The wall clock */
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    if (real_clock_gettime == NULL)
+        real_clock_gettime = dlsym(RTLD_NEXT, "clock_gettime");
+    int result = real_clock_gettime(clock, now);
+    if (result == 0 && clock == CLOCK_REALTIME && board != NULL) {
+        int64_t ns = now->tv_sec * 1000000000LL + now->tv_nsec
+                     + __atomic_load_n(&board->wall_step_ns, __ATOMIC_RELAXED);
+        now->tv_sec = ns / 1000000000LL;
+        now->tv_nsec = ns % 1000000000LL;
+    }
+    return result;
+}
+
+int gettimeofday(struct timeval *now, void *zone) {
+    struct timespec exact;
+    (void)zone;
+    int result = clock_gettime(CLOCK_REALTIME, &exact);
+    now->tv_sec = exact.tv_sec;
+    now->tv_usec = exact.tv_nsec / 1000;
+    return result;
+}
+
+time_t time(time_t *result) {
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    if (result != NULL)
+        *result = now.tv_sec;
+    return now.tv_sec;
+}
--- /dev/null
+++ b/tests/test_machine_faults.py
@@ -0,0 +1,121 @@
+"""The real program while its machine fails it: calls that fail for a moment, hold-ups, a wall clock that is wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from garnetusher.lab.syscall_faults import Call
+from tests.machine import machine
+from tests.net import OK, PATIENCE_S, Upstream, answering, entry, listing, request
+from tests.test_program import SETTINGS
+from tests.test_sidecar import run
+
+SLACK_MS = 150  # of the time that an attempt tells its upstream, beyond what its client has left
+LATE_S = 1.0  # after which the kernel tries again to connect to a listener whose backlog was full
+BOUNDS = SETTINGS["bounds"] | {"dial-timeout": 3_000_000}
+PATIENT: dict[str, Any] = SETTINGS | {
+    "bounds": BOUNDS | {"second-copies": False},
+    "request-classes": [{"name": name, "aim": 1_400_000, "deadline": 1_500_000, "effect": effect, "worth": 1.0}
+                        for name, effect in (("pay", "at_most_once"), ("read", "idempotent"))]}
+
+
+@contextlib.contextmanager
+def late_listener() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
+    """A listener whose backlog is full, and the connections that fill it: those that come now are up 1 s later, if
+    the backlog has been emptied by then."""
+    with socket.socket() as held, contextlib.ExitStack() as stack:
+        held.bind(("127.0.0.1", 0))
+        held.listen(0)
+        fillers = [stack.enter_context(socket.socket()) for _ in range(2)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(held.getsockname())
+        yield held, fillers
+
+
+def told_ms(head: bytes) -> int:
+    line = next(line for line in head.split(b"\r\n") if line.lower().startswith(b"x-deadline-ms:"))
+    return int(line.split(b":")[1])
+
+
+def test_the_time_told_to_an_upstream_is_what_is_left_when_it_is_written(tmp_path: Path) -> None:
+    async def test() -> None:
+        with late_listener() as (held, fillers):
+            port = held.getsockname()[1]
+            async with machine(tmp_path, settings=PATIENT, known=listing(entry("u", port))) as it:
+                _, writer = await it.connect()
+                asked_at = time.monotonic()
+                writer.write(request("read", deadline_ms=1500))
+                await asyncio.sleep(0.2)
+                held.setblocking(False)
+                for filler in fillers:
+                    with contextlib.suppress(BlockingIOError):
+                        (await asyncio.get_running_loop().sock_accept(held))[0].close()
+                    filler.close()
+                async with asyncio.timeout(PATIENCE_S):
+                    while True:
+                        sock, _ = await asyncio.get_running_loop().sock_accept(held)
+                        head = await asyncio.get_running_loop().sock_recv(sock, 65536)
+                        sock.close()
+                        if head:
+                            break
+                left_ms = 1500 - (time.monotonic() - asked_at) * 1000
+                assert left_ms < 1000  # it did come up late
+                assert told_ms(head) <= left_ms + SLACK_MS
+                writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("kind", ["read", "pay"])
+def test_nothing_is_sent_on_for_a_client_that_left_while_the_program_was_held_up(tmp_path: Path, kind: str) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        async with machine(tmp_path, settings=PATIENT, known=listing(entry("u", upstream.port))) as it:
+            async with it.held_up(0.3):
+                for number in range(10):
+                    it.leave_unread(request(kind, f"left-{number}", b"b" if kind == "pay" else b"", 1500))
+            assert await it.ask(request(kind, "stays", b"b" if kind == "pay" else b"", 1500)) == 200
+        assert [b"left-" in head for head, _ in upstream.requests] == [False]
+        upstream.stop()
+
+    run(test)
+
+
+async def served_after_s(folder: Path, error: int) -> float:
+    """How long clients wait, of which the first comes when accept fails once."""
+    upstream = Upstream(answering(OK))
+    await upstream.start()
+    async with machine(folder, settings=PATIENT, known=listing(entry("u", upstream.port))) as it:
+        await asyncio.sleep(0.1)  # the loop has looked once more at the listener since it was found up
+        it.faults.inject(Call.ACCEPT, error, count=1)
+        asked_at = time.monotonic()
+        for number in range(2):  # an event loop's own listener takes the first and then pauses for a second
+            assert await it.ask(request("read", str(number), deadline_ms=1500)) == 200
+        assert it.faults.hits(Call.ACCEPT) == 1
+    upstream.stop()
+    return time.monotonic() - asked_at
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_accept_that_finds_no_resources_for_a_moment_costs_a_moment(tmp_path: Path, error: int) -> None:
+    run(lambda: not_long(tmp_path, error))
+
+
+@pytest.mark.parametrize("error", [errno.ECONNABORTED, errno.EPERM, errno.EPROTO, errno.ENETUNREACH, errno.ETIMEDOUT])
+def test_accept_that_fails_with_its_connection_costs_a_moment(tmp_path: Path, error: int) -> None:
+    run(lambda: not_long(tmp_path, error))
+
+
+async def not_long(folder: Path, error: int) -> None:
+    assert await served_after_s(folder, error) < 0.6
