Ask one gate at the moment of each write: client there, time left, window, upstream, repeat

Change: plovertrail/gate.py answers, when the first byte is about to be written, with what is left or a typed denial (client left, by a look at the kernel; time, window, upstream drained, moved or started anew; repeat of what may have run; second copy; number of attempts). What only the policy's fault could ask for is a violation: denied, counted, logged with the request's last steps. Refusals of what may have run become failures there, closes over an unanswered request are denied. plovertrail/trace.py keeps the last 1,024 steps and the counters; request.py has the types that host.py held. Time counts from when the loop should have looked last, so a hold-up is not taken for time that the client still has. What socket and connect lack on this machine is tried again, and is no evidence against an upstream.

The seeded fault "repeats unsafe" now has to disable the gate as well, or the checker has nothing to catch.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -17,9 +17,11 @@
 from plovertrail import config
 from plovertrail.admin import Admin, Route
 from plovertrail.discovery import Directory, Discovery
-from plovertrail.host import Host, clock_us
+from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle
+from plovertrail.request import clock_us
 from plovertrail.server import Catalogue, Server
+from plovertrail.trace import Trace
 from plovertrail.upstreams import Pool
 
 if TYPE_CHECKING:
@@ -184,8 +186,9 @@
     def __init__(self, settings: config.Config, inherited: socket.socket | None = None) -> None:
         self.settings = settings
         self.lifecycle = Lifecycle()
-        self.pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
-        self.host = Host(settings.settings, settings.seed, self.pool)
+        self.trace = Trace()
+        self.pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, self.trace)
+        self.host = Host(settings.settings, settings.seed, self.pool, self.trace)
         self.directory = Directory(settings.zones, settings.kinds)
         self.discovery = Discovery(settings.discovery, self.directory, self.host.list_changed)
         self.host.subscribe = self.discovery.subscribe
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -14,7 +14,7 @@
 
 from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
 from plovertrail.config import parse_address
-from plovertrail.host import clock_us
+from plovertrail.request import clock_us
 
 log = logging.getLogger(__name__)
 
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -7,17 +7,28 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
 
 from glenkeel import interface as api
 from glenkeel.balance import Balancer
-from plovertrail.body import Head, Sink, Source, Upload
+from plovertrail.body import Head, Sink, Source
+from plovertrail.gate import Gate
+from plovertrail.request import (
+    Answer,
+    Asker,
+    Attempt,
+    Call,
+    Denial,
+    Permit,
+    Request,
+    Result,
+    Upstreams,
+    Verdict,
+    clock_us,
+)
+from plovertrail.trace import Trace
 
 log = logging.getLogger(__name__)
 
@@ -25,120 +36,10 @@
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
 
 
-def clock_us() -> int:
-    """The module's clock."""
-    return time.monotonic_ns() // 1000
-
-
-@dataclass(slots=True)
-class Call:
-    """A request of the application, as it was read."""
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]  # those that go on to the upstream
-    body: bytes
-    arrived_us: int
-    deadline_us: int  # counted from its arrival
-    class_index: int
-    tenant: int = 0
-    key: int = 0
-    cost_us: int = 0
-    retried: bool = False
-    upload: Upload | None = None  # the body, where it is too long to be held
-
-
-class Verdict(enum.Enum):
-    """What the application is told."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Answer:
-    """The one final answer to a request."""
-
-    verdict: Verdict
-    body: bytes = b""
-    content_type: bytes = b""
-    retry_after_us: int = 0
-
-
-@dataclass(slots=True)
-class Result:
-    """How an attempt ended, as the upstream's side saw it."""
-
-    outcome: api.Outcome
-    body: bytes = b""
-    content_type: bytes = b""
-
-
-class Asker(Sink, Protocol):
-    """The client's side of a request."""
-
-    def answer(self, answer: Answer) -> None:
-        """The one final answer, unless one has begun."""
-
-    def begin(self, head: Head, source: Source) -> None:
-        """The final answer, which is long and comes in pieces."""
-
-    def finish(self, whole: bool) -> None:
-        """Its end, or its break, which the client has to see."""
-
-
-class Flight(Protocol):
-    """An attempt that is out."""
-
-    @property
-    def written(self) -> bool:
-        """Whether any of it has been written."""
-
-    def give_up(self) -> None:
-        """Stop waiting: nothing more is written, and a connection that has carried it is closed."""
-
-
-class Upstreams(Protocol):
-    """The side of the upstreams."""
-
-    def start(self, address: tuple[str, int], call: Call, timeout_us: int, ended: Callable[[Result], None],
-              began: Callable[[Head, Source], Sink | None]) -> Flight:
-        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first; before it
-        `began`, where the answer is a long one, which tells where it goes if anybody still wants it."""
-
-    def close_idle(self, address: tuple[str, int]) -> None:
-        """Close the idle connections to an upstream."""
-
-
-@dataclass(slots=True)
-class Attempt:
-    upstream: int
-    sent_us: int
-    address: tuple[str, int] | None  # where it was then; None: it was gone
-    flight: Flight | None = None
-    timer: asyncio.TimerHandle | None = None
-    timeout_us: int = 0  # as the module said
-    ended: bool = False
-
-
-@dataclass(slots=True)
-class Request:
-    ident: int
-    call: Call
-    due_us: int
-    asker: Asker
-    whole: bool  # else its body is still coming, and its time has not begun
-    bound: int = -1  # the attempt whose answer has begun to go to the client
-    attempts: list[Attempt] = field(default_factory=list)
-    timer: asyncio.TimerHandle | None = None
-    over: bool = False  # it has had its final answer, or the client has gone
-
-
 class Host:
     """One `Balancer`, its clock and timers, and the requests and attempts that are live."""
 
-    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
+    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams, trace: Trace | None = None) -> None:
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.upstreams = upstreams
@@ -150,12 +51,17 @@
         self.events: deque[api.Event] = deque()
         self.running = False
         self.balancer = Balancer(settings, seed, clock_us())
+        self.entries: dict[int, api.Upstream] = {}  # of those at `addresses`
+        self.trace = trace or Trace()
+        self.gate = Gate(self.trace, settings)
+        self.gate.addresses, self.gate.entries = self.addresses, self.entries
 
     # What happens
 
     def retune(self, settings: api.Settings) -> None:
         """The operator has replaced the settings."""
         before, self.settings = self.settings, settings
+        self.gate.settings = settings
         self._tell(api.SettingsChanged(settings, api.places_before(settings.classes, before.classes),
                                        api.places_before(settings.tenants, before.tenants)))
 
@@ -178,15 +84,17 @@
     def arrived(self, call: Call, asker: Asker, whole: bool = True) -> int:
         """A request has been taken; `asker` gets its one answer unless the client goes first."""
         self.last_ident += 1
-        request = Request(self.last_ident, call, self._due_us(call), asker, whole)
+        request = Request(self.last_ident, call, self._due_us(call), asker, whole,
+                          self.settings.classes[call.class_index], self.settings.max_attempts)
         self.requests[request.ident] = request
+        self.trace.note("taken", request.ident, reason=call.name)
         if whole:
             self._set_due(request, request.due_us)
         self._tell(api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant, call.key,
                                       call.cost_us, call.retried, whole=whole))
         return request.ident
 
-    def whole(self, ident: int) -> None:
+    def whole(self, ident: int, arrived_us: int) -> None:
         """The last byte of a long body has come: the client's time begins."""
         request = self.requests.get(ident)
         if request is None or request.over or request.whole:
@@ -194,11 +102,11 @@
         request.whole = True
         if request.bound >= 0:
             return  # hazard: its answer has begun, and no clock may cut that any more
-        request.call.arrived_us = now_us = clock_us()
+        request.call.arrived_us = arrived_us
         self._set_due(request, self._due_us(request.call))
         for number, attempt in enumerate(request.attempts):
             if not attempt.ended:
-                attempt.sent_us = now_us
+                attempt.sent_us = arrived_us
                 self._time(request, number)
         self._tell(api.RequestWhole(ident, request.due_us))
 
@@ -219,6 +127,7 @@
         request = self.requests.get(ident)
         if request is None or request.over:
             return
+        self.trace.note("client gone", ident)
         if not request.whole or request.bound >= 0:  # the rest of the body, or of the answer, goes nowhere
             request.over = True
             for number in range(len(request.attempts)):
@@ -230,6 +139,7 @@
         """The client of a whole request sends nothing more: it has left, or only waits for its answer."""
         request = self.requests.get(ident)
         if request is not None and not request.over and request.bound < 0:
+            self.trace.note("client sends no more", ident)
             self._tell(api.ClientLeft(ident))
             self._keep_back(request)
 
@@ -241,7 +151,7 @@
         for entry in event.upstreams:
             if self.addresses.get(entry.id, addresses[entry.id]) != addresses[entry.id]:
                 self._forget(entry.id)
-            self.addresses[entry.id] = addresses[entry.id]
+            self.addresses[entry.id], self.entries[entry.id] = addresses[entry.id], entry
             if entry.state is not api.UpstreamState.READY:
                 self._forget(entry.id)
         self._tell(event)
@@ -250,10 +160,11 @@
 
     def _recall(self) -> None:
         """What waits for a connection to where its upstream is no more goes elsewhere. Hazard: the connection may come
-        up long after we were told that the upstream drains, and the request would be written to it then."""
+        up long after we were told that the upstream drains, and the request would be written to it then; and one that
+        has started anew meanwhile is cold."""
         for request in list(self.requests.values()):
             for number, attempt in enumerate(request.attempts):
-                if attempt.address != self.addresses.get(attempt.upstream):
+                if self.gate.has_changed(attempt):
                     self._take_back(request, number)
 
     def zones(self, names: list[str]) -> list[dict[str, object]]:
@@ -356,6 +267,7 @@
         request = self.requests.get(ident)
         if request is None or request.over or request.bound >= 0:
             return
+        answer = self.gate.final_answer(request, answer, clock_us())
         self._finish(request)
         request.asker.answer(answer)
 
@@ -391,23 +303,31 @@
             return  # over, and the module has been told
         now_us = clock_us()
         number = len(request.attempts)
-        address = self.addresses.get(action.upstream)
-        attempt = Attempt(action.upstream, now_us, address, timeout_us=action.timeout_us)
+        attempt = Attempt(action.upstream, now_us, self.addresses.get(action.upstream), timeout_us=action.timeout_us,
+                          start_by_us=action.start_by_us, entry=self.entries.get(action.upstream))
         request.attempts.append(attempt)
-        left_us = request.due_us - now_us if request.whole else request.call.deadline_us
-        if (request.over or request.bound >= 0 or address is None or left_us <= 0 or action.timeout_us < 0
-                or number >= self.settings.max_attempts):
+        if not self.gate.may_choose(request, number, now_us) or attempt.address is None or action.timeout_us < 0:
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
         if request.whole:
             self._time(request, number)
         attempt.flight = self.upstreams.start(
-            address, request.call, min(action.timeout_us or left_us, left_us),
+            attempt.address, request.call, lambda: self._permission(request, number),
             lambda result: self._end_attempt(request, number, result),
             lambda head, source: self._began(request, number, head, source))
         if action.start_by_us:
             self._at(action.start_by_us, self._take_back, request, number)
 
+    def _permission(self, request: Request, number: int) -> Permit | Denial:
+        """Whether an attempt may be written now."""
+        now_us = clock_us()
+        found = self.gate.may_write(request, number, now_us)
+        if isinstance(found, Permit):
+            request.attempts[number].written_us = now_us
+        elif found is Denial.CLIENT_LEFT:
+            self.loop.call_soon(self.left, request.ident)
+        return found
+
     def _time(self, request: Request, number: int) -> None:
         """Start the clock of an attempt."""
         attempt = request.attempts[number]
@@ -452,8 +372,9 @@
         attempt = request.attempts[number]
         if attempt.ended:
             return
-        attempt.ended = True
+        attempt.outcome = result.outcome
         attempt.flight = None
+        self.trace.note("ended", request.ident, number, attempt.upstream, result.outcome.value)
         if attempt.timer is not None:
             attempt.timer.cancel()
         if number == request.bound:
@@ -469,5 +390,6 @@
 
     def _forget(self, ident: int) -> None:
         address = self.addresses.pop(ident, None)
+        self.entries.pop(ident, None)
         if address is not None:
             self.upstreams.close_idle(address)
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -23,8 +23,9 @@
     Upload,
     chunk,
 )
-from plovertrail.host import Answer, Call, Host, Verdict, clock_us
+from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle, State
+from plovertrail.request import Answer, Call, Verdict, clock_us
 from plovertrail.sockets import Listener, listen_at
 
 log = logging.getLogger(__name__)
@@ -105,6 +106,7 @@
             key=hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
             cost_us=whole_number(cost, "X-Cost-Hint") if cost else 0,
             retried=found.get(b"x-retry") == b"1",
+            name=found[b"x-request-id"].decode("latin-1"),
         )
 
 
@@ -152,7 +154,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=UNWRITTEN)
-        self.made_us = self.quiet_us = clock_us()
+        self.made_us = self.quiet_us = self.server.arrived_us()
         self.limit_us = self.made_us + LONGEST_READ_US
         self.server.connected(self)
 
@@ -325,10 +327,10 @@
         elif self.upload is not None:
             self.upload.finish()
             if self.open:
-                self.server.host.whole(self.ident)
+                self.server.host.whole(self.ident, self.server.arrived_us())
         else:
             call = self.look_up()
-            call.arrived_us = clock_us()
+            call.arrived_us = self.server.arrived_us()
             call.body = bytes(self.body)
             self.open = True
             self.ident = self.server.host.arrived(call, self)
@@ -488,12 +490,14 @@
         return not self.open and not self.ending and self.begun_us == 0
 
     def has_left(self) -> bool:
-        """Hazard: while its reading is paused the loop does not see that a client has gone, and what the kernel holds
-        of its body would be sent on later."""
+        """Whether the kernel knows that its client has closed, or ended its sending side. Hazard: the loop may not have
+        read that yet: it reads a request before the end behind it, and nothing while reading is paused."""
         assert self.transport is not None
         sock = self.transport.get_extra_info("socket")
-        if sock is None:
-            return False
+        if self.left or self.transport.is_closing():
+            return True
+        if sock is None or sock.fileno() < 0:  # what stands for a connection in a test, or one that is closed
+            return sock is not None
         look = select.poll()
         look.register(sock.fileno(), select.POLLRDHUP)
         return bool(look.poll(0))
@@ -518,6 +522,8 @@
     def close(self) -> None:
         """End a connection that carries no whole request."""
         assert self.transport is not None
+        if not self.server.host.gate.may_close(self.ident, self.open and self.whole):
+            return
         self.ending = True
         self.transport.close()
 
@@ -558,6 +564,12 @@
         self.most_clients = most_clients
         self.clients: dict[Client, None] = {}  # in the order of their coming
         self.listener: Listener | None = None
+        self.check_at_us = 0  # when the next look at the clients is due
+
+    def arrived_us(self) -> int:
+        """When what is read now has come, at the soonest. Hazard: where this process was held up it may have waited in
+        the kernel; the time of its client has run meanwhile. A look that is overdue tells for how long."""
+        return min(clock_us(), self.check_at_us) if self.check_at_us else clock_us()
 
     @property
     def ready(self) -> bool:
@@ -586,6 +598,7 @@
     def check(self) -> None:
         asyncio.get_running_loop().call_later(CHECK_S, self.check)
         now_us = clock_us()
+        self.check_at_us = now_us + int(CHECK_S * 1e6)
         for client in list(self.clients):
             client.check(now_us)
         if self.lifecycle.state is State.DRAINING and self.lifecycle.closing_for_s > DRAIN_IDLE_S:
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -20,10 +20,11 @@
     Reading,
     Sink,
     Source,
-    Upload,
     chunk,
 )
-from plovertrail.host import Call, Result, clock_us
+from plovertrail.request import Call, Permission, Permit, Result, clock_us
+from plovertrail.sockets import RETRY_S, SteadySocket, is_own
+from plovertrail.trace import Trace
 
 log = logging.getLogger(__name__)
 
@@ -43,11 +44,11 @@
 Address = tuple[str, int]
 
 
-def request_head(call: Call, address: Address, timeout_us: int) -> bytes:
-    """The head of an attempt: the client's own, with the time that the sidecar will wait."""
+def request_head(call: Call, address: Address, left_us: int) -> bytes:
+    """The head of an attempt: the client's own, with the time that the sidecar will still wait."""
     lines = [b"%s %s HTTP/1.1\r\nHost: %s:%d" % (call.method, call.target, address[0].encode(), address[1])]
     lines.extend([b"%s: %s" % header for header in call.headers])
-    lines.append(b"X-Deadline-Ms: %d" % max(1, timeout_us // 1000))
+    lines.append(b"X-Deadline-Ms: %d" % max(1, left_us // 1000))
     length = call.upload.length if call.upload is not None else len(call.body)
     if length is None:
         lines.append(b"Transfer-Encoding: chunked")
@@ -85,17 +86,32 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, pool: Pool, address: Address, data: bytes, ended: Callable[[Result], None],
-                 began: Callable[[Head, Source], Sink | None], upload: Upload | None = None) -> None:
+    def __init__(self, pool: Pool, address: Address, call: Call, permission: Permission,
+                 ended: Callable[[Result], None], began: Callable[[Head, Source], Sink | None]) -> None:
         self.pool = pool
         self.address = address
-        self.data = data
+        self.call = call
+        self.permission = permission
         self.ended = ended
         self.began = began
-        self.upload = upload
+        self.upload = call.upload
         self.connection: Connection | None = None
         self.written = False
         self.given_up = False
+        self.starved = False  # this machine lacked what a connection takes
+
+    def head(self) -> bytes | None:
+        """What is to be written now, long bodies aside; None if it may not be: it ends then, as not sent."""
+        permit = self.permission()
+        if isinstance(permit, Permit):
+            return request_head(self.call, self.address, permit.left_us) + self.call.body
+        self.pool.loop.call_soon(self.not_sent)
+        return None
+
+    def not_sent(self) -> None:
+        if not self.given_up:
+            self.given_up = True
+            self.end(Result(Outcome.NOT_SENT))
 
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
@@ -146,9 +162,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that we are told whether all has been written
-        if self.attempt is not None:
-            self.send(self.attempt)
-        else:
+        if self.attempt is None or not self.send(self.attempt):
             self.pool.put_idle(self)
 
     def pause_writing(self) -> None:
@@ -177,15 +191,20 @@
             return False
         return False
 
-    def send(self, attempt: Attempt) -> None:
+    def send(self, attempt: Attempt) -> bool:
+        """Write an attempt, if that is still allowed; returns whether it was."""
         assert self.transport is not None
+        head = attempt.head()
+        if head is None:
+            self.attempt = attempt.connection = None
+            return False
         self.attempt = attempt
         attempt.connection = self
         attempt.written = True
         self.parser = httptools.HttpResponseParser(self)
         self.forget_answer()
         self.idled_us = clock_us() - self.idle_since_us if self.idle_since_us else -1
-        self.transport.write(attempt.data)
+        self.transport.write(head)
         if attempt.upload is not None:
             self.unfinished = True
             held = attempt.upload.attach(self)
@@ -196,6 +215,7 @@
                 attempt.upload.flow(False)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
+        return True
 
     # A long body, as it comes from the client
 
@@ -397,8 +417,9 @@
 class Pool:
     """Connections to all upstreams. The most recently used one is used again first."""
 
-    def __init__(self, idle_us: int, dial_timeout_us: int) -> None:
+    def __init__(self, idle_us: int, dial_timeout_us: int, trace: Trace | None = None) -> None:
         self.loop = asyncio.get_running_loop()
+        self.trace = trace or Trace()
         self.trust = Trust(max(0, idle_us - IDLE_MARGIN_US))
         self.dial_timeout_us = dial_timeout_us
         self.idle: dict[Address, list[Connection]] = {}
@@ -413,10 +434,9 @@
             self.trust = Trust(longest_us)
         self.dial_timeout_us = dial_timeout_us
 
-    def start(self, address: Address, call: Call, timeout_us: int, ended: Callable[[Result], None],
+    def start(self, address: Address, call: Call, permission: Permission, ended: Callable[[Result], None],
               began: Callable[[Head, Source], Sink | None]) -> Attempt:
-        data = request_head(call, address, timeout_us) + call.body
-        attempt = Attempt(self, address, data, ended, began, call.upload)
+        attempt = Attempt(self, address, call, permission, ended, began)
         now_us = clock_us()
         oldest_us = now_us - self.trust.limit_us()
         settling = []
@@ -425,7 +445,7 @@
                 settling.append(connection)
             elif connection.idle_since_us > oldest_us and connection.usable():
                 self.remove(connection)
-                connection.send(attempt)
+                self.carry(connection, attempt)
                 return attempt
             else:
                 connection.close()
@@ -439,6 +459,11 @@
             self.open(attempt)
         return attempt
 
+    def carry(self, connection: Connection, attempt: Attempt) -> None:
+        """Write an attempt on a connection that was idle, which stays so where that is not allowed any more."""
+        if not connection.send(attempt):
+            self.idle.setdefault(connection.address, []).append(connection)
+
     def settled(self, connection: Connection, attempt: Attempt) -> None:
         """An attempt has waited for this connection. Hazard: either may have ended meanwhile."""
         if not connection.usable():
@@ -448,38 +473,61 @@
         elif attempt.given_up:
             self.idle.setdefault(connection.address, []).append(connection)
         else:
-            connection.send(attempt)
+            self.carry(connection, attempt)
 
     def open(self, attempt: Attempt) -> None:
         """A new connection for it."""
-        task = self.loop.create_task(self.dial(attempt.address, attempt))
+        task = self.loop.create_task(self.dial(attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
 
-    async def dial(self, address: Address, attempt: Attempt) -> None:
-        if attempt.given_up:  # hazard: in the round of the loop that started this; it may be under way elsewhere by now
-            return
-        sock: socket.socket | None = None
-        connection: Connection | None = None
+    async def dial(self, attempt: Attempt) -> None:
+        """Open a connection and write the attempt on it, if it is still wanted; else the connection is kept."""
+        connection = None
         try:
             async with asyncio.timeout(self.dial_timeout_us / 1e6 or None):
-                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                connection = Connection(self, address, sock)
-                connection.attempt = attempt
-                attempt.connection = connection
-                await self.loop.sock_connect(sock, address)
-            made = connection
-            await self.loop.create_connection(lambda: made, sock=sock)
-        except (OSError, ValueError):  # refused, unreachable, no descriptor left, not up in time, or no host's name
-            if sock is not None:
-                sock.close()
-            waiting = connection.attempt if connection is not None else attempt
-            if waiting is not None and not waiting.written:
-                if connection is not None:
-                    connection.attempt = None
-                waiting.end(Result(Outcome.CONNECT_FAILED))
+                connection = await self.connect(attempt)
+            if connection is not None:
+                made = connection
+                await self.loop.create_connection(lambda: made, sock=made.sock)
+        except (OSError, ValueError):  # refused, unreachable, not up in time, or no host's name
+            if connection is not None:
+                connection.attempt = None
+                connection.sock.close()
+            if not attempt.given_up and not attempt.written:
+                attempt.end(Result(Outcome.NOT_SENT if attempt.starved else Outcome.CONNECT_FAILED))
+
+    async def connect(self, attempt: Attempt) -> Connection | None:
+        """A connection that is up, and carries the attempt unless that is given up meanwhile; None if it was before
+        any was begun: in the round of the loop that chose it, it may be under way elsewhere by now.
+
+        What fails for want of something on this machine is tried again, and says nothing of the upstream. Raises
+        OSError and ValueError on what does."""
+        while not attempt.given_up:
+            attempt.starved = False
+            try:
+                return await self.connect_once(attempt)
+            except OSError as error:
+                if not is_own(error):
+                    raise
+            attempt.starved = True
+            self.trace.count("connecting failed on this machine")
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    async def connect_once(self, attempt: Attempt) -> Connection:
+        sock = SteadySocket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = Connection(self, attempt.address, sock)
+        connection.attempt, attempt.connection = attempt, connection
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.loop.sock_connect(sock, attempt.address)
+        except BaseException:
+            connection.attempt = attempt.connection = None
+            sock.close()
+            raise
+        return connection
 
     def put_idle(self, connection: Connection) -> None:
         connection.idle_since_us = clock_us()
--- a/tests/faulty/misdeeds.py
+++ b/tests/faulty/misdeeds.py
@@ -12,6 +12,8 @@
 from glenkeel.slots import Server
 from plovertrail import __main__ as program
 from plovertrail import discovery, host, server
+from plovertrail.gate import Gate
+from plovertrail.request import Answer, Verdict, clock_us
 
 
 def answers_twice() -> None:
@@ -30,8 +32,10 @@
 
 
 def repeats_unsafe() -> None:
-    """What may have run is forgotten."""
+    """What may have run is forgotten, by the policy and by the gate behind it."""
     Request.first_that_may_have_run = lambda self: None  # type: ignore[method-assign]
+    Gate.repeat_objection = lambda self, request, attempt, now_us: None  # type: ignore[method-assign]
+    Gate.may_refuse = lambda self, request: True  # type: ignore[method-assign]
 
 
 def sends_to_drained() -> None:
@@ -54,12 +58,12 @@
     """What is given up is answered just before the client's time is out."""
     answer = host.Host._answer
 
-    def late(self: host.Host, ident: int, answer_: host.Answer) -> None:
+    def late(self: host.Host, ident: int, answer_: Answer) -> None:
         request = self.requests.get(ident)
-        if request is None or request.over or answer_.verdict is host.Verdict.SERVED:
+        if request is None or request.over or answer_.verdict is Verdict.SERVED:
             answer(self, ident, answer_)
             return
-        after = max(0.0, (request.due_us - 30_000 - host.clock_us()) / 1e6)
+        after = max(0.0, (request.due_us - 30_000 - clock_us()) / 1e6)
         asyncio.get_running_loop().call_later(after, answer, self, ident, answer_)
 
     host.Host._answer = late  # type: ignore[method-assign, assignment]
--- a/tests/net.py
+++ b/tests/net.py
@@ -14,6 +14,8 @@
 from glenkeel.interface import RequestClass, Settings
 from plovertrail.__main__ import serve
 from plovertrail.config import Config
+from plovertrail.request import Call, Permit, Result
+from plovertrail.upstreams import Address, Attempt, Pool
 
 PATIENCE_S = 20.0  # no test waits for a time-out on purpose; this only ends one that hangs
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -140,6 +142,17 @@
             writer.transport.abort()
 
 
+def allowed() -> Permit:
+    """Whatever the gate would say."""
+    return Permit(left_us=1_000_000)
+
+
+def attempt_at(pool: Pool, address: Address, ended: Callable[[Result], None], body: bytes = b"") -> Attempt:
+    """An attempt that may be written at any time; its head begins with `POST /pay`."""
+    call = Call(b"POST", b"/pay", [], body, 0, 0, 1)
+    return Attempt(pool, address, call, allowed, ended, lambda head, source: None)
+
+
 def free_ports(count: int) -> list[int]:
     """Different ones: a port that has been let go may be given out again at once."""
     with contextlib.ExitStack() as stack:
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -11,12 +11,13 @@
 
 from glenkeel.interface import ListKind, Outcome, RequestClass, UpstreamState
 from plovertrail import upstreams as upstreams_module
-from plovertrail.upstreams import Attempt, Connection, Pool
+from plovertrail.upstreams import Connection, Pool
 from tests.net import (
     OK,
     Discovery,
     Upstream,
     answering,
+    attempt_at,
     entry,
     listing,
     read_message,
@@ -184,11 +185,12 @@
                 connection, wire = Connection(pool, address, here), Wire()
                 connection.connection_made(wire)
                 pool.remove(connection)
-                attempt = Attempt(pool, address, b"POST", lambda result: None, lambda head, source: None)
+                attempt = attempt_at(pool, address, lambda result: None)
                 if given_up:
                     attempt.give_up()
                 pool.settled(connection, attempt)
-                assert (wire.sent, pool.idle) == ((b"", {address: [connection]}) if given_up else (b"POST", {}))
+                assert wire.sent[:9] == (b"" if given_up else b"POST /pay")
+                assert pool.idle == ({address: [connection]} if given_up else {})
                 pool.idle.clear()
 
     run(test)
@@ -203,11 +205,11 @@
             here.setblocking(False)
             connection = Connection(pool, address, here)
             await asyncio.get_running_loop().create_connection(lambda: connection, sock=here)
-            attempt = Attempt(pool, address, b"POST", lambda result: None, lambda head, source: None)
+            attempt = attempt_at(pool, address, lambda result: None)
             pool.remove(connection)
             connection.send(attempt)
             attempt.give_up()  # no round of the loop after it
-            assert (there.recv(100), there.recv(100, socket.MSG_DONTWAIT)) == (b"POST", b"")
+            assert there.recv(1000).startswith(b"POST /pay") and there.recv(100, socket.MSG_DONTWAIT) == b""
 
     run(test)
 
@@ -240,7 +242,7 @@
         pool.sweeper.cancel()
         with socket.socket() as sock:
             ends: list[object] = []
-            attempt = Attempt(pool, address, b"POST", ends.append, lambda head, source: None)
+            attempt = attempt_at(pool, address, ends.append)
             connection, wire = Connection(pool, address, sock), Wire()
             connection.attempt, attempt.connection = attempt, connection
             attempt.give_up()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -12,7 +12,7 @@
 from glenkeel.interface import RequestClass, Settings
 from plovertrail import server as server_module
 from plovertrail.body import LONGEST, Head, Room, Source, Upload
-from plovertrail.host import Call, Result
+from plovertrail.request import Call, Result
 from plovertrail.server import Catalogue
 from plovertrail.upstreams import SETTLE_US, Pool
 from tests.net import (
@@ -20,6 +20,7 @@
     OK,
     PATIENCE_S,
     Upstream,
+    allowed,
     answering,
     classes,
     entry,
@@ -587,7 +588,7 @@
             return Nowhere()
 
         call = Call(b"GET", b"/read", [], b"", 0, 0, 1)
-        flight = pool.start(("127.0.0.1", upstream.port), call, 1_000_000, results.append, began)
+        flight = pool.start(("127.0.0.1", upstream.port), call, allowed, results.append, began)
         await until(lambda: bool(source))
         assert len(pool.passing) == 1
         flight.give_up()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,10 +14,13 @@
 from glenkeel.interface import Event, Outcome, Settings
 from plovertrail.discovery import Directory
 from plovertrail.discovery import Discovery as Discovering
-from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
+from plovertrail.gate import Gate
+from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle
+from plovertrail.request import Answer, Call, Result, Verdict, clock_us
 from plovertrail.server import Client, Server
-from plovertrail.upstreams import SETTLE_US, Attempt, Connection, Pool, Trust
+from plovertrail.trace import Trace
+from plovertrail.upstreams import SETTLE_US, Connection, Pool, Trust
 from tests.net import (
     NOT_RUN,
     OK,
@@ -25,6 +28,7 @@
     Discovery,
     Upstream,
     answering,
+    attempt_at,
     classes,
     entry,
     listing,
@@ -290,9 +294,7 @@
             sock.setblocking(False)
             peer, _ = listener.accept()
         connection = Connection(pool, peer.getsockname(), sock)
-        call = Call(b"POST", b"/pay", [], b"x" * 1_000_000, 0, 0, 1)
-        connection.attempt = Attempt(pool, connection.address, call.body, results.append,
-                                     lambda head, source: None)
+        connection.attempt = attempt_at(pool, connection.address, results.append, b"x" * 1_000_000)
         await loop.create_connection(lambda: connection, sock=sock)
         assert connection.unsent
         if early:
@@ -391,13 +393,15 @@
 
 def a_client() -> Client:
     """A client's connection, and no more of the sidecar behind it than takes its requests."""
+    settings = Settings(classes())
+
     class Taker:
         ready = True
+        gate = Gate(Trace(), settings)
 
         def arrived(self, call: Call, reply: object) -> int:
             return 1
 
-    settings = Settings(classes())
     client = Client(Server(cast(Host, Taker()), settings, 100, Lifecycle()))
     client.connection_made(Sink())
     return client
