List two more red tests: ages of upstreams under a wrong wall clock, calls of a large fleet after a break

Seen: with the wall clock 10 s ahead at the start an upstream that has just started gets 19 of 90 requests, 3,600 s ahead 29, and as it should at most 15 with a clock that is right or an hour behind. Where the list is asked for, of 200 sidecars the last calls 8.0 s after one failed call and 20.0 s after two or four, where 6 s later a change counts as told.

--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from glenkeel.interface import (
     ListKind,
     Outcome,
@@ -81,6 +83,31 @@
         assert most <= 12  # 5 on average; all forty in one second where they call at once
 
 
+def calls_after_a_break(failures: int) -> list[int]:
+    """How long each of 200 sidecars waits for its next call to discovery once its calls have failed so often."""
+    waits = []
+    for number in range(200):
+        world = World(settings(list_on_request=True, ask_within_us=10_000_000, instances=200), number)
+        world.tell_list(upstreams(4), ListKind.CACHED)
+        wait_for_ask(world)
+        world.tell_list([], ListKind.DELTA)
+        for _ in range(failures - 1):
+            world.tell(UpstreamsUpdated(ListKind.FAILED))
+            wait_for_ask(world)
+        world.tell(UpstreamsUpdated(ListKind.FAILED))
+        waits.append(wait_for_ask(world))
+    return sorted(waits)
+
+
+@pytest.mark.parametrize("failures", [1, 2, 4])
+def test_a_change_is_learnt_within_6_s_of_discovery_being_in_reach_in_a_large_fleet(failures: int) -> None:
+    """A call that fails takes up to 2.5 s, and so does the one after it: what is left lies between them."""
+    waits = calls_after_a_break(failures)
+    assert waits[-1] <= 3_500_000
+    busiest = max(sum(1 for at in waits if start <= at < start + 500_000) for start in waits)
+    assert busiest <= 60  # 29 on average; all 200 at once were a stampede
+
+
 def test_a_second_failure_before_the_repeat_does_not_double_the_calls() -> None:
     world = asking_world()
     world.advance(2_000_000)
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -146,3 +146,33 @@
         upstream.stop()
 
     run(test)
+
+
+def cold_settings(**bounds: Any) -> dict[str, Any]:
+    """As above, with upstreams that are cold for long."""
+    rules = PATIENT["invariants"] | {"cold-share": 0.13, "warm-up": 24_000_000, "overload-factor": 3.0,
+                                     "fall": 3_000_000}
+    return PATIENT | {"invariants": rules, "registry-mode": "pushed", "bounds": PATIENT["bounds"] | bounds}
+
+
+@pytest.mark.parametrize("step_s", [0.0, 10.0, 3600.0, -3600.0])
+def test_an_upstream_that_has_just_started_counts_as_cold_whatever_the_wall_clock_says(tmp_path: Path,
+                                                                                       step_s: float) -> None:
+    async def test() -> None:
+        warm, cold = Upstream(answering(OK)), Upstream(answering(OK))
+        await warm.start()
+        await cold.start()
+        known = listing(entry("w0", warm.port), entry("w1", warm.port),
+                        entry("cold", cold.port, boot_ms=int(time.time() * 1000)))
+        async with machine(tmp_path, step_s, settings=cold_settings(), known=known) as it:
+            reader, writer = await it.connect()
+            for number in range(90):
+                writer.write(request("read", str(number), deadline_ms=1500))
+                await read_message(reader)
+            writer.close()
+        assert len(warm.requests) > 70
+        assert len(cold.requests) <= 15  # a third of them, were it warm
+        warm.stop()
+        cold.stop()
+
+    run(test)
