Date upstreams' starts by the list's newest one, and believe no clock that makes them older

Behind by an hour, every upstream that started since would have counted as cold for an hour.

The time of day is the least that it can be: the newest start that the list tells, which lies in the past, and the real time since; and no more than the wall clock says, as one upstream's own clock may be ahead. A start keeps the age it was given, so no later step moves it and nobody stays cold for longer than one warm-up. Erring to the cold side costs service for seconds, erring to the warm side pushes an upstream over: so the newest count as new when a process starts, however long ago that was.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +12,7 @@
 import httptools
 
 from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.boot_times import BootTimes
 from plovertrail.config import parse_address
 from plovertrail.request import clock_us
 
@@ -38,12 +38,13 @@
         self.kinds = kinds
         self.idents: dict[str, int] = {}
         self.last_ident = 0
-        self.to_clock_us = clock_us() - time.time_ns() // 1000  # from Unix time, once for all
+        self.boot_times = BootTimes(clock_us)
 
     def read(self, lines: Any, kind: ListKind | None = None) -> tuple[UpstreamsUpdated, dict[int, Address]]:
         """The event for one list, with the addresses of its entries; raises on what is malformed."""
         if kind is None:
             kind = ListKind.FULL if lines["all"] else ListKind.DELTA
+        self.observe(lines)
         entries, addresses = [], {}
         for line in lines["targets"]:
             entry, addresses_of = self.entry(line)
@@ -51,15 +52,25 @@
             addresses[entry.id] = addresses_of
         if kind is not ListKind.DELTA:
             listed = {line["uid"] for line in lines["targets"]}
-            self.idents = {uid: ident for uid, ident in self.idents.items() if uid in listed}
+            for uid in [uid for uid in self.idents if uid not in listed]:
+                self.forget(uid)
         for line in lines["targets"]:
             if STATES[line["state"]] is UpstreamState.GONE:
-                self.idents.pop(line["uid"], None)
+                self.forget(line["uid"])
         return UpstreamsUpdated(kind, entries, int(lines["rev"])), addresses
 
+    def forget(self, uid: str) -> None:
+        self.idents.pop(uid, None)
+        self.boot_times.forget(uid)
+
+    def observe(self, lines: Any) -> None:
+        """What a list tells of the time of day; of the whole of a long one, before its first piece is read."""
+        self.boot_times.observe(int(line["boot_ms"]) for line in lines["targets"])
+
     def pieces(self, lines: Any) -> list[Any]:
         """A long list as changes of a few entries each, to be read one by one: first what is not listed any more."""
         targets = lines["targets"]
+        self.observe(lines)
         if len(targets) <= PIECE:
             return [lines]
         if lines["all"]:
@@ -82,11 +93,12 @@
             self.last_ident += 1
             self.idents[uid] = self.last_ident
         upstream.id = self.idents[uid]
+        upstream.started_us = self.boot_times.started_us(uid, int(line["boot_ms"]))
         return upstream, address
 
     def parse(self, line: Any) -> tuple[Upstream, Address]:
-        """All of an entry but its number."""
-        boot_ms = int(line["boot_ms"])
+        """All of an entry but its number and its start; raises on what is malformed."""
+        int(line["boot_ms"])
         return Upstream(
             id=0,
             state=STATES[line["state"]],
@@ -94,7 +106,6 @@
             kind=self.kinds.index(line["model"]) if line["model"] in self.kinds else len(self.kinds),
             cell=int(line["pod_group"]),
             weight=float(line["capacity_hint"]),
-            started_us=boot_ms * 1000 + self.to_clock_us if boot_ms else 0,
         ), parse_address(line["endpoint"])
 
 
