Call discovery again within 3 s, however many calls have failed and however large the fleet

Now a change counts as told 6 s after discovery could be reached, whatever else is allowed after a failed call; 200 sidecars called 8.0 s after one failed call and 20.0 s after two.

Change: Balancer.backoff_us is bounded by 3 s; with 2.5 s that a call may take that leaves half a second. Within the bound the jitter is full, as before. The test that spread calls over 8 s asked for at most 12 of 40 in a second; 40 in 3 s are 13 on the mean, so it now asks for the bound and for at most 10 in any 0.3 s, which all at once breaks as before.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -41,7 +41,9 @@
 COLD_ARRIVAL = 0.3  # an arrival's count in a pool that is all cold: it gets a third of its load to begin with
 COLD_ALLOWANCE = 0.2  # of the rate allowed to this sidecar: with the answers within thrice the least warmth
 CALL_GAP_US = 250_000  # between the fleet's calls to discovery, at first: one costs it up to 0.2 s
-FIRST_ASK_PART = 0.8  # of ask-within, in which the first call is made
+FIRST_ASK_PART = 0.8  # of ask-within, in which a call is made
+# a change counts as told 6 s after discovery could be reached; a call takes up to 2.5 s of that, hold-ups the rest
+LONGEST_CALL_GAP_US = 3_000_000
 TIERS = 3  # this zone, this region, other regions
 LATE_TIMES = 3.0  # the usual answer time, at most half the aim, after which an attempt speaks against its zone
 
@@ -680,10 +682,10 @@
         """How long till discovery is called, or called again. Hazard: one service serves a few calls a second
         for the whole fleet, and those that have waited too long fail; calls that all sidecars make at once,
         as when they restart or all watches break, let none through. So they are spread with full jitter over
-        a time that grows with the fleet and doubles with each failure. Rule 3: it stays inside ask-within,
-        which is four times as long after a failed call."""
-        longest_us = self.settings.ask_within_us * (FIRST_ASK_PART if self.list_failures < 2 else 2)
+        a time that grows with the fleet and doubles with each failure. Rule 3: what discovery has counts as told
+        soon after it can be reached, however many calls have failed, so that time has a bound."""
         spread_us = CALL_GAP_US * self.zones.instances * 2 ** min(max(0, self.list_failures - 1), 20)
+        longest_us = min(LONGEST_CALL_GAP_US, int(self.settings.ask_within_us * FIRST_ASK_PART))
         return int(min(spread_us, longest_us) * self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
