Tell the last events and the counters at the admin address

Need: a request that ended badly can't be followed once it is over, and refusals, denials and violations are not counted anywhere that operators can ask.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -163,6 +163,14 @@
     def zones(query: str) -> tuple[bool, str]:
         return True, json.dumps(server.host.zones(sidecar.settings.zones))
 
+    def trace(query: str) -> tuple[bool, str]:
+        name = query.removeprefix("request=")
+        events = sidecar.trace.find(name) if query else list(sidecar.trace.events)
+        return True, "\n".join(json.dumps(event.shown()) for event in events)
+
+    def counters(query: str) -> tuple[bool, str]:
+        return True, json.dumps(sidecar.trace.counts)
+
     def order(leave: bool) -> Callable[[str], tuple[bool, str]]:
         def call(query: str) -> tuple[bool, str]:
             names = sidecar.settings.zones
@@ -177,6 +185,7 @@
 
     return {b"/_ready": Route(b"GET", ready), b"/_lameduck/on": Route(b"POST", drain),
             b"/_lameduck/off": Route(b"POST", undrain), b"/_zones": Route(b"GET", zones),
+            b"/_trace": Route(b"GET", trace), b"/_counters": Route(b"GET", counters),
             b"/_zone/leave": Route(b"POST", order(True)), b"/_zone/return": Route(b"POST", order(False))}
 
 
