Close the listener in the moment in which its queue is empty

Cause: after SIGTERM accepting stopped 0.1 s before the listener closed, as the event loop's own server can't set up what it accepted before a close.

Change: our own listener needs no such pause; it takes what is queued, closes, and waits until the loop knows all that it has accepted. The look that dates what came in a hold-up counts only once a round of the loop has read what was there.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -45,7 +45,6 @@
 DRAIN_BACKLOG_S = 1.0  # for accept to work again at the end: a third of the time that is left to answer
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
-SETTLE_S = 0.1  # in which the loop sets up what it has accepted, however busy it is
 SOON_US = 1_000_000  # after which another process is there in the place of one that ends
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
@@ -598,12 +597,18 @@
     def check(self) -> None:
         asyncio.get_running_loop().call_later(CHECK_S, self.check)
         now_us = clock_us()
-        self.check_at_us = now_us + int(CHECK_S * 1e6)
+        # hazard: after a hold-up timers may run before what has come is read, and its time is to be told by this look
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self.looked, now_us)
         for client in list(self.clients):
             client.check(now_us)
         if self.lifecycle.state is State.DRAINING and self.lifecycle.closing_for_s > DRAIN_IDLE_S:
             self.close_idle(now_us - QUIET_US)
 
+    def looked(self, at_us: int) -> None:
+        """What had come by this look at the clients has been read."""
+        self.check_at_us = at_us + int(CHECK_S * 1e6)
+
     def close_idle(self, quiet_since_us: int) -> None:
         """Close the connections that have been idle since then. Hazard: the first request of a new one is on its way,
         and clients do not send that again."""
@@ -625,14 +630,10 @@
 
     async def stop_listening(self, shared: bool) -> None:
         """Accept nobody from now on, and close this copy of the socket. What the kernel has queued is taken first,
-        unless another process has the socket too and will take it: a close would reset it.
-
-        Hazard: the loop cannot set up a connection whose listener has been closed since it was accepted."""
+        unless another process has the socket too and will take it: a close would reset it."""
         if self.listener is None:
             return
-        if shared:
-            self.listener.pause()
-        else:
+        if not shared:
             await self.listener.drain(DRAIN_BACKLOG_S)
-        await asyncio.sleep(SETTLE_S)
         self.listener.close()
+        await self.listener.settled()
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -119,13 +119,17 @@
         ends_at = self.loop.time() + longest_s
         while not self.accept() and self.loop.time() < ends_at:
             await asyncio.sleep(RETRY_S if self.timer is not None else 0)
-        self.pause()
 
     def close(self) -> None:
         """Let go of the socket; others may hold it too."""
         self.pause()
         self.sock.close()
 
+    async def settled(self) -> None:
+        """Until the loop knows all that were accepted."""
+        while self.set_up:
+            await asyncio.wait(set(self.set_up))
+
 
 async def listen_at(address: tuple[str, int], backlog: int, patience_s: float) -> socket.socket:
     """A socket that listens there; raises OSError where that stays impossible for so long.
