--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -13,8 +13,13 @@
 
 from garnetusher import cli, config, logs
 from garnetusher.lab import report
+from garnetusher.lab import sidecars as sidecar_processes
 from garnetusher.lab.play import play
 from garnetusher.lab.sidecars import LabError
+from garnetusher.lab.soak import campaign as campaigns
+from garnetusher.lab.soak import plan as soak_plan
+from garnetusher.lab.soak import run as soak_run
+from garnetusher.lab.syscall_faults import CompilerError
 from garnetusher.model import baselines, figures, result
 from garnetusher.model import compare as comparison
 from garnetusher.model import experiment as experiments
@@ -110,6 +115,49 @@
         cli.say(f"| {found.name}, seed {found.seed} | {'yes' if found.held else 'no'} | {' | '.join(cells)} |")
 
 
+@app.command(epilog="Example: garnetusher lab soak --seeds 1:40 --jobs 4 --out found/soak")
+def soak(seeds: Annotated[str, typer.Option(help="The first and the last, as A:B.")] = "1:8",
+         jobs: Annotated[int, typer.Option(min=1, help="Plays at once; each has some ten sidecars.")] = 4,
+         sidecars: Annotated[int, typer.Option(min=1, max=40, help="Of one play.")] = 10,
+         replay: Annotated[Path | None, typer.Option(help="A play that was saved, in place of seeds.")] = None,
+         reduce: Annotated[bool, typer.Option(help="Make plays that fail smaller, and save them.")] = False,
+         out: Annotated[Path | None, typer.Option(help="A new folder for logs and findings.")] = None,
+         tree: Tree = Path("."), json: Json = False) -> None:
+    """Play seeded faults, two or three at a time, on real sidecars, and judge every rule of the protocol."""
+    folder = (out or Path("found") / f"soak-{time.strftime('%H%M%S')}").resolve()
+    folder.mkdir(parents=True, exist_ok=True)
+    sidecar_processes.build(tree.resolve())
+    try:
+        with cli.progress("soak") as progress:
+            if replay is not None:
+                found = campaigns.summary([soak_run.play(soak_plan.load(replay), folder, tree.resolve())])
+            else:
+                found = campaigns.campaign(_range(seeds), sidecars, jobs, folder, tree.resolve(), progress)
+    except (LabError, CompilerError, OSError, msgspec.MsgspecError) as error:
+        cli.fail(str(error))
+    (folder / "summary.json").write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1) + b"\n")
+    for failure in found.failed if reduce and replay is None else []:
+        failure["replay"] = str(campaigns.reduce_and_save(soak_plan.draw(failure["seed"], sidecars),
+                                                          set(failure["rules"]), folder, tree.resolve()))
+    if json:
+        cli.say_json(msgspec.to_builtins(found))
+    else:
+        cli.say(f"{len(found.seeds)} plays, {found.minutes} minutes, {found.requests} requests, {found.attempts} "
+                f"attempts; ends: {found.ends}")
+        cli.say(f"each pair of kinds overlapped in {found.fewest_pairs} plays or more; the stand-ins were late by "
+                f"{found.worst_lag_s} s at the most")
+        for failure in found.failed:
+            cli.say(f"seed {failure['seed']}: {failure['rules']}: {failure['first']}")
+    raise typer.Exit(cli.HELD if found.held else cli.NOT_HELD)
+
+
+def _range(seeds: str) -> range:
+    first, colon, last = seeds.partition(":")
+    if not first.isdecimal() or (colon and not last.isdecimal()):
+        cli.fail(f"--seeds: expected A:B, got {seeds!r}")
+    return range(int(first), int(last or first) + 1)
+
+
 def _load(file: Path) -> Experiment:
     try:
         experiment = experiments.load(file)
