List three red tests from the soak: half-written files, a slot lost with shutdown(2), new connections in a hold-up

Seen: a file that is half written at SIGHUP, or that no descriptor is left for, is given up for good, and the sidecar stays with an address of discovery that takes nobody any more. After three connections whose shutdown failed with ENOTCONN an upstream gets nothing more from this sidecar: each kept its slot. A request on a new connection that came as the program was held up for 0.3 s is told 1,399 ms to the upstream where its client has 1,200 left.

--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -16,7 +16,7 @@
 
 from garnetusher.lab.syscall_faults import Call
 from tests.machine import machine
-from tests.net import OK, PATIENCE_S, Upstream, answering, entry, listing, read_message, request
+from tests.net import OK, PATIENCE_S, Discovery, Upstream, answering, entry, listing, read_message, request
 from tests.test_program import SETTINGS
 from tests.test_sidecar import run, status
 
@@ -176,3 +176,67 @@
         cold.stop()
 
     run(test)
+
+
+async def answered_by(discovery: Discovery) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        await discovery.watched()
+
+
+@pytest.mark.parametrize("trouble", ["half written", "no descriptor left"])
+def test_a_new_file_that_can_not_be_read_yet_is_read_again(tmp_path: Path, trouble: str) -> None:
+    """The old address of discovery takes nobody any more: not to follow would be to miss each drain from now on."""
+    async def test() -> None:
+        old, new = Discovery(), Discovery()
+        await old.start()
+        await new.start()
+        async with machine(tmp_path, discovery=f"127.0.0.1:{old.port}") as it:
+            await answered_by(old)
+            text = it.config.read_text().replace(f"127.0.0.1:{old.port}", f"127.0.0.1:{new.port}")
+            if trouble == "half written":
+                it.config.write_text(text[:-100])
+            else:
+                it.config.write_text(text)
+                it.faults.inject(Call.OPEN, errno.ENFILE, for_s=0.3)
+            it.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            it.config.write_text(text)
+            await answered_by(new)
+        old.stop()
+        new.stop()
+
+    run(test)
+
+
+def test_a_connection_that_can_not_be_shut_down_costs_no_slot(tmp_path: Path) -> None:
+    """Its answer has been written; the upstream's slot is free again, and so is the end of the process."""
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        async with machine(tmp_path, settings=PATIENT, known=listing(entry("u", upstream.port))) as it:
+            it.faults.inject(Call.SHUTDOWN, errno.ENOTCONN)
+            for number in range(8):  # more than an upstream has slots
+                asked = request("read", str(number), deadline_ms=1500, extra="Connection: close\r\n")
+                assert await it.ask(asked) == 200, number
+        upstream.stop()
+
+    run(test)
+
+
+def test_what_came_on_a_new_connection_while_the_program_was_held_up_has_less_time_left(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        async with machine(tmp_path, settings=PATIENT, known=listing(entry("u", upstream.port))) as it:
+            assert await it.ask(request("pay", "first", b"b", 1500)) == 200
+            for number in range(5):
+                async with it.held_up(0.3):
+                    reader, writer = await it.connect()
+                    writer.write(request("pay", str(number), b"b", 1500))
+                assert status(await read_message(reader)) == 200
+                writer.close()
+        for head, _ in upstream.requests[1:]:
+            assert told_ms(head) <= 1200 + SLACK_MS
+        upstream.stop()
+
+    run(test)
