--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -19,6 +19,7 @@
 from plovertrail.discovery import Directory, Discovery
 from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle
+from plovertrail.reload import Reloader
 from plovertrail.request import clock_us
 from plovertrail.server import Catalogue, Server
 from plovertrail.trace import Trace
@@ -214,13 +215,9 @@
             self.discovery.keep()
         self.host.start()
 
-    def reload(self, path: str) -> None:
-        """Take the file anew: all of it, once it has been checked whole, or nothing."""
-        try:
-            settings = config.load_again(path, self.settings)
-        except Exception as error:  # hazard: whatever is wrong with it, the running sidecar must go on
-            log.warning("the configuration is not taken, all stays as it was: %r", error)
-            return
+    def take(self, path: str) -> None:
+        """Take the file anew: all of it, once it has been checked whole; raises on what is wrong with it."""
+        settings = config.load_again(path, self.settings)
         before, self.settings = self.settings, settings
         self.directory.zones, self.directory.kinds = settings.zones, settings.kinds
         self.pool.retune(settings.idle_us, settings.settings.connect_timeout_us)
@@ -241,7 +238,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     await serve(settings, stop,
-                lambda sidecar: loop.add_signal_handler(signal.SIGHUP, sidecar.reload, path), inherited)
+                lambda sidecar: loop.add_signal_handler(signal.SIGHUP, Reloader(path, sidecar.take).signal), inherited)
 
 
 def main() -> int:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,6 +19,7 @@
 
 from plovertrail.__main__ import Sidecar
 from plovertrail.config import Config, flatten, load
+from plovertrail.reload import Reloader
 from tests.net import (
     OK,
     PATIENCE_S,
@@ -178,7 +179,7 @@
         before = (sidecar.settings, sidecar.server.catalogue, sidecar.host.settings)
         broken = without(whole, path) if value is None else with_value(whole, path, value)
         file.write_text(json.dumps(broken | {"discovery": "127.0.0.1:2"} if path != "discovery" else broken))
-        sidecar.reload(str(file))
+        Reloader(str(file), sidecar.take).signal()
         assert (sidecar.settings, sidecar.server.catalogue, sidecar.host.settings) == before
         assert sidecar.host.balancer.settings is before[2]
         assert sidecar.discovery.address == ("127.0.0.1", 1) and sidecar.discovery.watch is None
@@ -193,9 +194,9 @@
         sidecar = Sidecar(load(str(file)))
         before = sidecar.settings
         file.write_text(text)
-        sidecar.reload(str(file))
+        Reloader(str(file), sidecar.take).signal()
         file.unlink()
-        sidecar.reload(str(file))
+        Reloader(str(file), sidecar.take).signal()
         assert sidecar.settings is before and sidecar.discovery.watch is None
 
     asyncio.run(test())
@@ -212,7 +213,7 @@
         new = with_value(new, "settings.bounds.most-tries", 2)
         new = with_value(new, "settings.bounds.conn-idle", 900000)
         file.write_text(json.dumps(without(new, "known") | {"discovery": "127.0.0.1:2"}))
-        sidecar.reload(str(file))
+        Reloader(str(file), sidecar.take).signal()
         assert list(sidecar.server.catalogue.classes) == [b"read", b"pay"]
         assert sidecar.host.settings.max_attempts == sidecar.host.balancer.settings.max_attempts == 2
         assert sidecar.pool.trust.longest_us == 600_000
