Free the slot of an attempt whose answer can't be written or whose connection can't be shut down

The error left Host._end_attempt between the answer and AttemptEnded, so the module never heard of the end: the request stayed, and so did its slot. Seen: after three such answers an upstream got nothing more from this sidecar for good (503, 503, ...), and the process did not end by itself at SIGTERM.

Change: the error of shutdown is what it is, the client's end; and no error on the client's side keeps the end of an attempt from the module (Host._respond), which logs it. Elsewhere: the same was looked for at every place that calls the client's or the upstream's side; Client.begin is called before the module is told too, but changes nothing that is counted.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -269,7 +269,15 @@
             return
         answer = self.gate.final_answer(request, answer, clock_us())
         self._finish(request)
-        request.asker.answer(answer)
+        self._respond(request.asker.answer, answer)
+
+    def _respond(self, respond: Callable[..., None], *what: object) -> None:
+        """Hazard: an error on the client's side must not keep the module from hearing how the attempt ended: its slot
+        would be lost for good."""
+        try:
+            respond(*what)
+        except Exception:
+            log.exception("an answer could not be written")
 
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
@@ -380,7 +388,7 @@
         if number == request.bound:
             if not request.over:
                 self._finish(request)
-                request.asker.finish(result.outcome is api.Outcome.OK)
+                self._respond(request.asker.finish, result.outcome is api.Outcome.OK)
         elif result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(Verdict.SERVED, result.body, result.content_type))
         elapsed_us = clock_us() - attempt.sent_us
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import select
 import socket
@@ -465,7 +466,8 @@
             self.transport.close()
             return
         self.transport.resume_reading()
-        self.transport.write_eof()
+        with contextlib.suppress(OSError):  # its client has reset it in this moment; what was written is gone or there
+            self.transport.write_eof()
         self.quiet_us = clock_us()
         self.linger(self.quiet_us + STALL_US)
 
