Date a first request by when its connection was accepted, and what a shortage held back by its start

Cause: after a hold-up the first request of a new connection was dated by when it was read, some rounds of the loop after the look that tells of the hold-up; and what recv could not read for want of memory by when it could.

Change: a connection's protocol is made as it is accepted and keeps that time; what is read within 20 ms of its set-up came with it. SteadySocket notes since when it was short. It also forgoes TCP_NODELAY where there is no memory for it, and says whether its peer has ended, so the server no longer looks at descriptors itself. The operators' listener is ours too now.

--- a/plovertrail/admin.py
+++ b/plovertrail/admin.py
@@ -9,11 +9,13 @@
 
 import httptools
 
-from plovertrail.server import REASONS
+from plovertrail.server import LISTEN_PATIENCE_S, REASONS
+from plovertrail.sockets import Listener, listen_at
 
 log = logging.getLogger(__name__)
 
 MOST_CALLERS = 16  # connections; a few that stall and some that don't
+BACKLOG = 64  # connections not yet accepted
 LONGEST_CALL_S = 2.0  # for a call to come whole; a caller waits 1 s for its answer
 LONGEST_CALL = 8 * 1024  # bytes
 
@@ -96,10 +98,12 @@
         self.loop = asyncio.get_running_loop()
         self.routes = routes
         self.callers: dict[Caller, None] = {}  # in the order of their coming
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
 
     async def listen(self, address: tuple[str, int]) -> None:
-        self.listener = await self.loop.create_server(lambda: Caller(self), *address)
+        """Raises OSError where the address stays taken."""
+        self.listener = Listener(await listen_at(address, BACKLOG, LISTEN_PATIENCE_S), lambda sock: Caller(self))
+        self.listener.start()
 
     def connected(self, caller: Caller) -> None:
         if len(self.callers) >= MOST_CALLERS:
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -5,9 +5,7 @@
 import asyncio
 import contextlib
 import logging
-import select
 import socket
-import struct
 
 import httptools
 
@@ -27,7 +25,7 @@
 from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle, State
 from plovertrail.request import Answer, Call, Verdict, clock_us
-from plovertrail.sockets import Listener, listen_at
+from plovertrail.sockets import Listener, SteadySocket, listen_at
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +45,7 @@
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
 SOON_US = 1_000_000  # after which another process is there in the place of one that ends
+SET_UP_US = 20_000  # what is read so soon after a connection was set up may have come with it
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -113,13 +112,16 @@
 class Client(Reading):
     """One connection of the application; it carries one request at a time."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, sock: SteadySocket | None = None) -> None:
+        """`sock` is the connection's own; without one its peer can't be asked for."""
         self.server = server
+        self.sock = sock
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.open = False  # a request has been taken and not answered
         self.ident = 0  # the host's name for it
-        self.made_us = 0  # when it connected
+        self.made_us = server.arrived_us()  # when it connected
+        self.set_up_us = 0  # when the loop began to read it
         self.quiet_us = 0  # since when it has been idle, if it is
         self.begun_us = 0  # when the message now being read began
         self.limit_us = 0  # when more of it must have come
@@ -154,7 +156,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=UNWRITTEN)
-        self.made_us = self.quiet_us = self.server.arrived_us()
+        self.set_up_us = self.quiet_us = clock_us()
         self.limit_us = self.made_us + LONGEST_READ_US
         self.server.connected(self)
 
@@ -321,16 +323,17 @@
 
     def take(self) -> None:
         """The request has come whole."""
+        arrived_us = self.arrived_us()
         self.proven = True
         if self.is_up():
             self.write(200 if self.server.ready else 503, b"")
         elif self.upload is not None:
             self.upload.finish()
             if self.open:
-                self.server.host.whole(self.ident, self.server.arrived_us())
+                self.server.host.whole(self.ident, arrived_us)
         else:
             call = self.look_up()
-            call.arrived_us = self.server.arrived_us()
+            call.arrived_us = arrived_us
             call.body = bytes(self.body)
             self.open = True
             self.ident = self.server.host.arrived(call, self)
@@ -425,9 +428,8 @@
         self.open = False
         self.source = None
         if not whole:
-            sock = self.transport.get_extra_info("socket")
-            if sock is not None:  # a reset, and no mere end, which would end an answer without length
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            if self.sock is not None:  # a reset, and no mere end, which would end an answer without length
+                self.sock.reset_at_close()
             self.transport.abort()
         elif not self.transport.is_closing():
             if self.framed:
@@ -491,17 +493,23 @@
         return not self.open and not self.ending and self.begun_us == 0
 
     def has_left(self) -> bool:
-        """Whether the kernel knows that its client has closed, or ended its sending side. Hazard: the loop may not have
-        read that yet: it reads a request before the end behind it, and nothing while reading is paused."""
+        """Whether its client has closed, or ended its sending side, as far as the kernel knows. Hazard: the loop reads
+        a request before the end behind it, and nothing while reading is paused."""
         assert self.transport is not None
-        sock = self.transport.get_extra_info("socket")
         if self.left or self.transport.is_closing():
             return True
-        if sock is None or sock.fileno() < 0:  # what stands for a connection in a test, or one that is closed
-            return sock is not None
-        look = select.poll()
-        look.register(sock.fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
+        return self.sock is not None and self.sock.peer_has_ended()
+
+    def arrived_us(self) -> int:
+        """When what was just read had come, at the soonest. Hazard: time that it waited in the kernel, while this
+        process was held up or short, its client has not got any more."""
+        arrived_us = self.server.arrived_us()
+        if not self.proven and clock_us() < self.set_up_us + SET_UP_US:
+            arrived_us = min(arrived_us, self.made_us)
+        if self.sock is not None and self.sock.short_since_us:
+            arrived_us = min(arrived_us, self.sock.short_since_us)
+            self.sock.short_since_us = 0
+        return arrived_us
 
     @property
     def unproven(self) -> bool:
@@ -579,7 +587,7 @@
     async def listen(self, where: tuple[str, int] | socket.socket) -> None:
         """Take clients at an address of our own, or from a socket that other processes hold too."""
         sock = where if isinstance(where, socket.socket) else await listen_at(where, BACKLOG, LISTEN_PATIENCE_S)
-        self.listener = Listener(sock, lambda: Client(self))
+        self.listener = Listener(sock, lambda accepted: Client(self, accepted))
         self.listener.start()
         self.check()
 
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
+import select
 import socket
+import struct
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NoReturn
 
@@ -18,6 +22,7 @@
 SHORTAGES = frozenset((errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM))
 OWN_ERRORS = SHORTAGES | {errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN, errno.ENETUNREACH, errno.ENETDOWN,
                           errno.EACCES, errno.EPERM, errno.EINTR}
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # lingering for no time
 
 
 def is_own(error: OSError) -> bool:
@@ -36,7 +41,19 @@
 
     The event loop takes any other error for the end of the connection, and what is under way on it would be lost."""
 
-    __slots__ = ()
+    __slots__ = ("short_since_us",)
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.short_since_us = 0  # since when something was there and could not be read; 0: it could
+
+    def setsockopt(self, *arguments: Any) -> None:
+        """As `socket.setsockopt`, but without TCP_NODELAY where there is no memory for it."""
+        try:
+            super().setsockopt(*arguments)
+        except OSError as error:
+            if error.errno not in SHORTAGES or arguments[:2] != (socket.IPPROTO_TCP, socket.TCP_NODELAY):
+                raise
 
     def send(self, data: ReadableBuffer, flags: int = 0, /) -> int:
         """As `socket.send`; raises BlockingIOError on a shortage."""
@@ -50,8 +67,26 @@
         try:
             return super().recv_into(buffer, nbytes, flags)
         except OSError as error:
+            if error.errno in SHORTAGES:
+                self.short_since_us = self.short_since_us or time.monotonic_ns() // 1000
             _later_if_short(error)
 
+    def peer_has_ended(self) -> bool:
+        """Whether the kernel knows that the peer has closed, or ended its sending side; the loop may not know yet."""
+        if self.fileno() < 0:
+            return True
+        look = select.poll()
+        look.register(self.fileno(), select.POLLRDHUP)
+        try:
+            return bool(look.poll(0))
+        except OSError:  # short of memory: the loop will tell
+            return False
+
+    def reset_at_close(self) -> None:
+        """Its close is to be seen as a break, and no end."""
+        with contextlib.suppress(OSError):
+            super().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
     @classmethod
     def adopt(cls, sock: socket.socket) -> SteadySocket:
         """The same socket in this class."""
@@ -64,7 +99,8 @@
     The event loop's own listener pauses for a second when accept fails for want of descriptors or memory, which is
     longer than many clients wait, and its pause outlives the socket."""
 
-    def __init__(self, sock: socket.socket, factory: Callable[[], asyncio.BaseProtocol]) -> None:
+    def __init__(self, sock: socket.socket, factory: Callable[[SteadySocket], asyncio.BaseProtocol]) -> None:
+        """`factory` makes the protocol of a connection, in the moment in which that is accepted."""
         self.loop = asyncio.get_running_loop()
         self.sock = sock
         self.factory = factory
@@ -97,16 +133,17 @@
                     self.timer = self.loop.call_later(RETRY_S, self.start)
                     return False
                 continue  # it came with a connection that has gone by now
-            task = self.loop.create_task(self._serve(SteadySocket.adopt(connection)))
+            adopted = SteadySocket.adopt(connection)
+            task = self.loop.create_task(self._serve(adopted, self.factory(adopted)))
             self.set_up.add(task)
             task.add_done_callback(self.set_up.discard)
         return False
 
-    async def _serve(self, connection: socket.socket) -> None:
+    async def _serve(self, connection: socket.socket, protocol: asyncio.BaseProtocol) -> None:
         """Make it known to the loop."""
         for _ in range(int(1 / RETRY_S)):
             try:
-                await self.loop.connect_accepted_socket(self.factory, connection)
+                await self.loop.connect_accepted_socket(lambda: protocol, connection)
                 return
             except OSError as error:
                 if not is_own(error):
