Begin a long body's time when all of it is in the kernel, and write heads that could not be sent anew

With no connection coming up it was answered after 10 s, a lost request; one that came up 1 s late was told the whole time. Likewise what accept or send held back for 0.4 s was dated by when they worked again.

Change: Client.whole_since_us asks the kernel (FIONREAD) whether the rest is there; the gate tells what is left from then, and what has not gone on before the end of that time is refused, as no upstream has had all of it. A connection is dated by when accept began to fail. Where nothing of a head could be sent, its connection is given up and the head is written anew. Not covered: a body in chunks, of which nobody can say whether the rest is there.

--- a/garnetusher/lab/soak/oracle.py
+++ b/garnetusher/lab/soak/oracle.py
@@ -15,6 +15,7 @@
 WINDOW_SLACK_S = 0.2  # a hold-up of 0.15 s between the look and the write, and 50 ms that sockets have
 DRAIN_S = 1.05  # after it is told, and the 50 ms that sockets have
 NEW_AFTER_TERM_S = 0.45  # new connections come for up to 0.4 s after SIGTERM; what comes later meets a closed address
+ASKED_S = 6.0  # after discovery can be reached, a change counts as told at the latest
 UNANSWERED_AFTER_TERM_S = 0.7  # what comes later than this after SIGTERM may be found unanswered by SIGKILL
 STRANGER_S = 3.0
 READY_S = 10.0
@@ -166,11 +167,17 @@
                 if change.state == "active":
                     break
                 first = change
-            after_s = attempt.first_byte_s - first.told_s
+            after_s = attempt.first_byte_s - max(first.told_s, self._asks_by(attempt))
             if after_s > DRAIN_S + self._slack_s(attempt.sidecar, first.told_s, attempt.first_byte_s):
                 self.breach("drain", attempt.first_byte_s, f"{attempt.ident}: sent to u{attempt.upstream} "
                             f"{after_s:.3f} s after {first.state} was told")
 
+    def _asks_by(self, attempt: Attempt) -> float:
+        """Where the list has to be asked for, a new process counts as told only once it has had time to ask."""
+        starts = [step.at_s for step in self.records.steps
+                  if step.sidecar == attempt.sidecar and step.what == "start" and step.at_s <= attempt.first_byte_s]
+        return starts[-1] + ASKED_S if starts and self.plan.mode == "on_request" else 0.0
+
     def _strangers(self) -> None:
         """Who sends no proper request gets an end in time; it is a share that is priced, so a few may miss it."""
         missed = [s for s in self.records.strangers if not s[2] or s[2] - s[1] > STRANGER_S + STAND_INS_S
--- a/plovertrail/gate.py
+++ b/plovertrail/gate.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 
 from glenkeel import interface as api
-from plovertrail.request import Answer, Attempt, Denial, Permit, Request, Verdict
+from plovertrail.request import ANSWER_MARGIN_US, Answer, Attempt, Denial, Permit, Request, Verdict
 from plovertrail.trace import Trace
 
 LATE_ANSWER_US = 70_000  # beyond a request's time: the settings' slack of 20 ms, and 50 ms that sockets may take
@@ -102,7 +102,11 @@
     def left_us(self, request: Request, attempt: Attempt, now_us: int) -> int:
         """How long the answer to an attempt is waited for; a body that is still coming has not begun its time."""
         if not request.whole:
-            return min(attempt.timeout_us or request.call.deadline_us, request.call.deadline_us)
+            left_us = request.call.deadline_us
+            since_us = request.asker.whole_since_us()
+            if since_us:
+                left_us -= now_us - since_us + ANSWER_MARGIN_US
+            return min(attempt.timeout_us or left_us, left_us)
         ends_us = request.due_us
         if attempt.timeout_us:
             ends_us = min(ends_us, attempt.sent_us + attempt.timeout_us)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -16,6 +16,7 @@
 from plovertrail.body import Head, Sink, Source
 from plovertrail.gate import Gate
 from plovertrail.request import (
+    ANSWER_MARGIN_US,
     Answer,
     Asker,
     Attempt,
@@ -32,7 +33,6 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_MARGIN_US = 10_000  # an answer sets out so long before the client's time is out, to be there in time
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
 
 
--- a/plovertrail/request.py
+++ b/plovertrail/request.py
@@ -18,6 +18,8 @@
     return time.monotonic_ns() // 1000
 
 
+ANSWER_MARGIN_US = 10_000  # an answer sets out so long before the client's time is out, to be there in time
+
 # outcomes that prove that an attempt was never begun with
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 
@@ -83,6 +85,9 @@
     def has_left(self) -> bool:
         """Whether the client has closed, or ended its sending side, as far as the kernel knows by now."""
 
+    def whole_since_us(self) -> int:
+        """Since when all of a body that is not read on has been here, at the soonest; 0: it is still to come."""
+
 
 class Denial(enum.Enum):
     """Why an attempt may not be written now."""
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -24,7 +24,7 @@
 )
 from plovertrail.host import Host
 from plovertrail.lifecycle import Lifecycle, State
-from plovertrail.request import Answer, Call, Verdict, clock_us
+from plovertrail.request import ANSWER_MARGIN_US, Answer, Call, Verdict, clock_us
 from plovertrail.sockets import Listener, SteadySocket, listen_at
 
 log = logging.getLogger(__name__)
@@ -120,7 +120,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.open = False  # a request has been taken and not answered
         self.ident = 0  # the host's name for it
-        self.made_us = server.arrived_us()  # when it connected
+        self.made_us = server.accepted_us()  # when it connected
         self.set_up_us = 0  # when the loop began to read it
         self.quiet_us = 0  # since when it has been idle, if it is
         self.begun_us = 0  # when the message now being read began
@@ -149,6 +149,8 @@
         self.catalogue: Catalogue | None = None  # that it was read by
         self.upload: Upload | None = None
         self.waits_us = 0  # since when a long body is not read on
+        self.looked_us = 0  # when the rest of it was last seen not to be here yet
+        self.rest_since_us = 0  # since when it has been; 0: it was not seen
         self.source: Source | None = None  # of a long answer
         self.framed = False  # it goes out in chunks
 
@@ -366,11 +368,11 @@
         if self.transport is None or self.upload is None:
             return
         if on:
-            self.waits_us = 0
+            self.waits_us = self.looked_us = 0
             self.limit_us = max(self.limit_us, clock_us() + LONGEST_READ_US)
             self.transport.resume_reading()
         elif not self.whole:
-            self.waits_us = self.waits_us or clock_us()
+            self.waits_us = self.waits_us or self.server.arrived_us()
             self.transport.pause_reading()
 
     # Its answer
@@ -509,7 +511,23 @@
         if self.sock is not None and self.sock.short_since_us:
             arrived_us = min(arrived_us, self.sock.short_since_us)
             self.sock.short_since_us = 0
-        return arrived_us
+        return min(arrived_us, self.rest_since_us or arrived_us)
+
+    def whole_since_us(self) -> int:
+        """Since when all of a body that is not read on has been in the kernel, at the soonest; 0: it is still to come.
+        Hazard: its client's time has begun, though the last byte has not been read."""
+        if self.waits_us and not self.rest_since_us and self.length is not None and self.sock is not None:
+            if self.sock.unread() >= self.length - self.passed:
+                self.rest_since_us = self.looked_us or self.waits_us
+            else:
+                self.looked_us = clock_us()
+        return self.rest_since_us
+
+    def out_of_time(self, now_us: int) -> bool:
+        """Whether a body that waits whole has to be answered before the next look. No upstream has had all of it."""
+        since_us = self.whole_since_us()
+        return bool(since_us) and self.call is not None and \
+            now_us + int(CHECK_S * 1e6) > since_us + self.call.deadline_us - ANSWER_MARGIN_US
 
     @property
     def unproven(self) -> bool:
@@ -548,7 +566,7 @@
         if self.ending or self.whole or (self.proven and self.begun_us == 0):
             return
         if self.waits_us:
-            if self.has_left():
+            if self.has_left() or self.out_of_time(now_us):
                 self.refuse_unread()
             elif not self.open and now_us > self.waits_us + LONGEST_WAIT_US:
                 self.refuse_unread(LONGEST_WAIT_US)
@@ -580,6 +598,11 @@
         the kernel; the time of its client has run meanwhile. A look that is overdue tells for how long."""
         return min(clock_us(), self.check_at_us) if self.check_at_us else clock_us()
 
+    def accepted_us(self) -> int:
+        """When a connection that is accepted now was made, at the soonest."""
+        failing_since_us = self.listener.failing_since_us if self.listener is not None else 0
+        return min(self.arrived_us(), failing_since_us or clock_us())
+
     @property
     def ready(self) -> bool:
         return self.host.ready and self.lifecycle.serving
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import contextlib
 import errno
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NoReturn
@@ -82,6 +85,15 @@
         except OSError:  # short of memory: the loop will tell
             return False
 
+    def unread(self) -> int:
+        """How many bytes the kernel holds for us; 0 where it does not tell."""
+        size = array.array("i", [0])
+        try:
+            fcntl.ioctl(self.fileno(), termios.FIONREAD, size)
+        except OSError:
+            return 0
+        return size[0]
+
     def reset_at_close(self) -> None:
         """Its close is to be seen as a break, and no end."""
         with contextlib.suppress(OSError):
@@ -105,6 +117,7 @@
         self.sock = sock
         self.factory = factory
         self.timer: asyncio.TimerHandle | None = None
+        self.failing_since_us = 0  # since when accept has failed; 0: it works
         self.set_up: set[asyncio.Task[Any]] = set()  # accepted, and not yet known to the loop
         sock.setblocking(False)
 
@@ -126,8 +139,10 @@
             try:
                 connection, _ = self.sock.accept()
             except BlockingIOError:
+                self.failing_since_us = 0
                 return True
             except OSError as error:
+                self.failing_since_us = self.failing_since_us or time.monotonic_ns() // 1000
                 if error.errno in SHORTAGES:
                     self.pause()
                     self.timer = self.loop.call_later(RETRY_S, self.start)
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -205,6 +205,9 @@
         self.forget_answer()
         self.idled_us = clock_us() - self.idle_since_us if self.idle_since_us else -1
         self.transport.write(head)
+        if self.transport.get_write_buffer_size() >= len(head) and not self.transport.is_closing():
+            self.pool.start_over(self, attempt)
+            return True
         if attempt.upload is not None:
             self.unfinished = True
             held = attempt.upload.attach(self)
@@ -475,6 +478,14 @@
         else:
             self.carry(connection, attempt)
 
+    def start_over(self, connection: Connection, attempt: Attempt) -> None:
+        """Nothing of it could be sent, as this machine is short. Hazard: what the loop sends once it can would tell a
+        time that has passed; so it gets a new connection, and its head is written anew."""
+        attempt.written, attempt.connection = False, None
+        connection.attempt = None
+        connection.close()
+        self.loop.call_later(RETRY_S, self.open, attempt)
+
     def open(self, attempt: Attempt) -> None:
         """A new connection for it."""
         task = self.loop.create_task(self.dial(attempt))
--- a/tests/test_crossing_watch.py
+++ b/tests/test_crossing_watch.py
@@ -35,6 +35,9 @@
     def write(self, data: Any) -> None:
         self.sent += data
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.aborted
 
