Drop log lines that can't be written at once, start patiently, date what EAGAIN held back

A start took any error of its file or of epoll for final, and epoll failing at the import of `selectors` left the program on poll(2) for good. A socket that epoll called readable and recv answered with EAGAIN was not taken for one that holds something back.

Change: plovertrail/logs.py asks whether a line can be written, leaves it out where not, and says how many are missing. File and event loop are tried for 5 s while this machine is short. SteadySocket dates every read that failed, and forgets it after 50 ms, so that a readiness that was none makes no later request older.

Elsewhere: the other writes of this process are to sockets that the loop never waits for; nothing else is written or read while it serves but the configuration at SIGHUP.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -6,15 +6,16 @@
 import json
 import logging
 import os
+import selectors
 import signal
 import socket
 import sys
 import time
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from glenkeel.wire import WireError
-from plovertrail import config
+from plovertrail import config, logs
 from plovertrail.admin import Admin, Route
 from plovertrail.discovery import Directory, Discovery
 from plovertrail.host import Host
@@ -22,6 +23,7 @@
 from plovertrail.reload import Reloader
 from plovertrail.request import clock_us
 from plovertrail.server import Catalogue, Server
+from plovertrail.sockets import RETRY_S, is_own
 from plovertrail.trace import Trace
 from plovertrail.upstreams import Pool
 
@@ -29,9 +31,10 @@
     from plovertrail.members import Members
 
 log = logging.getLogger(__name__)
+Made = TypeVar("Made")
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
-LINES_A_SECOND = 5
+START_PATIENCE_S = 5.0  # on a machine that is short: clients wait for 30 s at a start, other sidecars for 10 s
 OWN_MEMORY = 20 * 1024 * 1024  # bytes that the program takes without any request
 MEMORY_PART = 0.75  # of the limit; the rest is for short requests and for what the allocator keeps
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
@@ -42,22 +45,6 @@
 ENDS_BEFORE_S = 0.2  # SIGKILL, the last answers set out: time for a busy loop to write them
 
 
-class RateLimit(logging.Filter):
-    """Lets a few lines a second through: the log may be a pipe, and a full one would hold up everything."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.second = 0
-        self.lines = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        return self.lines <= LINES_A_SECOND
-
-
 async def serve(settings: config.Config, stop: asyncio.Event,
                 prepared: Callable[[Sidecar], None] = lambda sidecar: None,
                 inherited: socket.socket | None = None) -> None:
@@ -242,23 +229,41 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
-    logging.getLogger().handlers[0].addFilter(RateLimit())
+    """Run the sidecar; the status is 2 for a configuration that is not in order, 1 where it can't start."""
+    logs.configure()
     try:
         path = os.environ["BALANCER_CONFIG"]
-        settings = config.load(path, os.environ.get("BALANCER_ADMIN"))
+        settings = patiently(lambda: config.load(path, os.environ.get("BALANCER_ADMIN")))
         text = os.environ.get("BALANCER_SOCKET_FD")
         inherited = config.inherited_socket(text) if text else None
     except UNREADABLE as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(run(settings, path, inherited))
+        with asyncio.Runner(loop_factory=lambda: patiently(event_loop)) as runner:
+            runner.run(run(settings, path, inherited))
     except OSError as error:
         print(f"plovertrail: cannot start: {error}", file=sys.stderr)
         return 1
     return 0
 
 
+def event_loop() -> asyncio.AbstractEventLoop:
+    """A loop on epoll, also where that failed when `selectors` tried it at its import."""
+    return asyncio.SelectorEventLoop(selectors.EpollSelector())
+
+
+def patiently(make: Callable[[], Made]) -> Made:
+    """What `make` gives, tried again while this machine is short of what it takes; raises what it raises then."""
+    ends_at = time.monotonic() + START_PATIENCE_S
+    while True:
+        try:
+            return make()
+        except OSError as error:
+            if not is_own(error) or time.monotonic() >= ends_at:
+                raise
+        time.sleep(RETRY_S)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -508,9 +508,8 @@
         arrived_us = self.server.arrived_us()
         if not self.proven and clock_us() < self.set_up_us + SET_UP_US:
             arrived_us = min(arrived_us, self.made_us)
-        if self.sock is not None and self.sock.short_since_us:
-            arrived_us = min(arrived_us, self.sock.short_since_us)
-            self.sock.short_since_us = 0
+        if self.sock is not None:
+            arrived_us = min(arrived_us, self.sock.short_since_us() or arrived_us)
         return min(arrived_us, self.rest_since_us or arrived_us)
 
     def whole_since_us(self) -> int:
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -19,6 +19,7 @@
     from _typeshed import ReadableBuffer, WriteableBuffer
 
 RETRY_S = 0.02  # after a call that failed for want of something here: short beside the shortest deadlines
+AT_ONCE_US = 50_000  # a read that succeeds so soon after one that did not reads what that one wanted
 CONNECTIONS_A_ROUND = 64  # accepted before the loop goes on to those that are there
 
 # errors of this machine: what they stop may be tried again, and they are no evidence against anybody else
@@ -44,11 +45,11 @@
 
     The event loop takes any other error for the end of the connection, and what is under way on it would be lost."""
 
-    __slots__ = ("short_since_us",)
+    __slots__ = ("_short_since_us", "_short_us")
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self.short_since_us = 0  # since when something was there and could not be read; 0: it could
+        self._short_since_us = self._short_us = 0  # the first and the last time that nothing could be read of late
 
     def setsockopt(self, *arguments: Any) -> None:
         """As `socket.setsockopt`, but without TCP_NODELAY where there is no memory for it."""
@@ -70,10 +71,19 @@
         try:
             return super().recv_into(buffer, nbytes, flags)
         except OSError as error:
-            if error.errno in SHORTAGES:
-                self.short_since_us = self.short_since_us or time.monotonic_ns() // 1000
+            self._note_short()
             _later_if_short(error)
 
+    def _note_short(self) -> None:
+        now_us = time.monotonic_ns() // 1000
+        if now_us > self._short_us + AT_ONCE_US:
+            self._short_since_us = now_us
+        self._short_us = now_us
+
+    def short_since_us(self) -> int:
+        """Since when what is read now was there and could not be read; 0 if it could be read at once."""
+        return self._short_since_us if time.monotonic_ns() // 1000 <= self._short_us + AT_ONCE_US else 0
+
     def peer_has_ended(self) -> bool:
         """Whether the kernel knows that the peer has closed, or ended its sending side; the loop may not know yet."""
         if self.fileno() < 0:
