Test the soak's oracle by eight programs with one fault each, and fail each system call in turn

Need: an oracle that has never cried may be one that can't; and of each call of the sidecar with each error that Linux documents for it nobody knew what it does at the start, in service and at the end.

Change: tests/test_soak.py has the oracle on records made by hand and on real programs that lose, repeat, refuse what ran, send to drained upstreams and for who left, tell more time, leave strangers waiting or die, each a patch of the sidecar in tests/faulty. `garnetusher lab syscalls` plays each error once and for 0.3 s and prints the table.

--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -19,6 +19,7 @@
 from garnetusher.lab.soak import campaign as campaigns
 from garnetusher.lab.soak import plan as soak_plan
 from garnetusher.lab.soak import run as soak_run
+from garnetusher.lab.soak import sweep as soak_sweep
 from garnetusher.lab.syscall_faults import CompilerError
 from garnetusher.model import baselines, figures, result
 from garnetusher.model import compare as comparison
@@ -151,6 +152,29 @@
     raise typer.Exit(cli.HELD if found.held else cli.NOT_HELD)
 
 
+@app.command(epilog="Example: garnetusher lab syscalls --jobs 8 --out found/syscalls")
+def syscalls(jobs: Annotated[int, typer.Option(min=1, help="Plays at once; each has three sidecars.")] = 4,
+             out: Annotated[Path | None, typer.Option(help="A new folder for logs and the table.")] = None,
+             tree: Tree = Path("."), json: Json = False) -> None:
+    """Fail each system call of the sidecar with each error that Linux documents for it; print a Markdown table."""
+    folder = (out or Path("found") / f"syscalls-{time.strftime('%H%M%S')}").resolve()
+    folder.mkdir(parents=True, exist_ok=True)
+    sidecar_processes.build(tree.resolve())
+    try:
+        with cli.progress("system calls") as progress:
+            rows = soak_sweep.sweep(jobs, folder, tree.resolve(), progress)
+    except (LabError, CompilerError, OSError) as error:
+        cli.fail(str(error))
+    table = ["| call | error | way | calls that failed | requests | rules |", "| --- | --- | --- | ---: | ---: | --- |",
+             *(row.line() for row in rows)]
+    (folder / "table.md").write_text("\n".join(table) + "\n")
+    if json:
+        cli.say_json({"rows": msgspec.to_builtins(rows)})
+    else:
+        cli.say("\n".join(table))
+    raise typer.Exit(cli.NOT_HELD if any(row.broken for row in rows) else cli.HELD)
+
+
 def _range(seeds: str) -> range:
     first, colon, last = seeds.partition(":")
     if not first.isdecimal() or (colon and not last.isdecimal()):
--- a/garnetusher/lab/soak/plan.py
+++ b/garnetusher/lab/soak/plan.py
@@ -15,6 +15,7 @@
 SECONDS = 12.0  # of load; trouble begins after QUIET_S and ends before the last seconds
 QUIET_S = 1.0
 END_S = 2.5
+BEFORE_START_S = -1.0  # when a fault strikes that is there as the processes start
 TOGETHER_S = 0.6  # troubles of one group begin within so long of each other
 
 SidecarTrouble = Literal["hold_up", "restart", "kill", "reload", "reload_burst", "half_file", "wall_clock", "syscalls"]
--- a/garnetusher/lab/soak/run.py
+++ b/garnetusher/lab/soak/run.py
@@ -55,6 +55,7 @@
     troubles: dict[str, int]
     pairs: list[list[str]]
     worst_lag_s: float = 0.0
+    hits: int = 0  # system calls that were made to fail
     folder: str = ""
 
 
@@ -80,7 +81,8 @@
             meter = asyncio.create_task(self._measure_lag())
             begin_s = now_s()
             for trouble in self.plan.troubles:
-                self._spawn(self._carry_out(trouble, begin_s))
+                if trouble.at_s >= 0:
+                    self._spawn(self._carry_out(trouble, begin_s))
             await asyncio.gather(*(app.run(begin_s + self.plan.seconds) for app in self.applications))
             while self.tasks:
                 await asyncio.wait(set(self.tasks))
@@ -113,6 +115,9 @@
             self.agents.append(agent)
             self.sidecars.append(sidecar)
             self.applications.append(Application(number, sidecar.address, plan, self.records, sidecar.dump))
+        for trouble in self.plan.troubles:
+            if trouble.at_s < 0:
+                await asyncio.gather(*(self._at_sidecar(trouble, number) for number in trouble.targets))
         await asyncio.gather(*(sidecar.start() for sidecar in self.sidecars))
         if not all(await asyncio.gather(*(sidecar.ready() for sidecar in self.sidecars))):
             raise LabError(f"{self.folder}: a sidecar was not ready; its log is there")
@@ -244,7 +249,9 @@
         plan.seed, round(now_s() - began_s, 1), len(records.requests), len(records.attempts), dict(ends),
         [{"rule": b.rule, "at_s": round(b.at_s - began_s, 3), "text": b.text} for b in breaches],
         dict(Counter(trouble.kind for trouble in plan.troubles)), sorted(map(list, plan.pairs())),
-        round(max((lag for _, lag in records.lags), default=0.0), 3), str(folder))
+        round(max((lag for _, lag in records.lags), default=0.0), 3),
+        sum(sidecar.board.hits(call) for sidecar in it.sidecars if sidecar.board is not None for call in Call),
+        str(folder))
     steps = [f"{step.at_s - began_s:8.3f} s{step.sidecar} {step.what} {step.detail}" for step in records.steps]
     (folder / "steps.txt").write_text("\n".join(steps) + "\n")
     if breaches:
--- a/tests/faulty/misdeeds.py
+++ b/tests/faulty/misdeeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -11,7 +12,7 @@
 from glenkeel.interface import UpstreamState
 from glenkeel.slots import Server
 from plovertrail import __main__ as program
-from plovertrail import discovery, host, server
+from plovertrail import discovery, host, server, upstreams
 from plovertrail.gate import Gate
 from plovertrail.request import Answer, Verdict, clock_us
 
@@ -69,8 +70,72 @@
     host.Host._answer = late  # type: ignore[method-assign, assignment]
 
 
-MISDEEDS = {deed.__name__: deed for deed in (answers_twice, repeats_unsafe, sends_to_drained, pushes_cold_over,
-                                             holds_back)}
+def loses_requests() -> None:
+    """One answer in five is never written."""
+    answer = server.Client.answer
+    count = 0
+
+    def forgetful(self: server.Client, answer_: Answer) -> None:
+        nonlocal count
+        count += 1
+        if count % 5:
+            answer(self, answer_)
+
+    server.Client.answer = forgetful  # type: ignore[method-assign]
+
+
+def sends_for_who_left() -> None:
+    """Attempts begin 0.3 s after they were chosen, whether or not their clients are still there."""
+    start = upstreams.Pool.open
+
+    def later(self: upstreams.Pool, attempt: upstreams.Attempt) -> None:
+        asyncio.get_running_loop().call_later(0.3, start, self, attempt)
+
+    upstreams.Pool.open = later  # type: ignore[method-assign]
+    upstreams.Attempt.give_up = lambda self: None  # type: ignore[method-assign]
+    Gate.objection = lambda self, request, number, now_us: None  # type: ignore[method-assign]
+    server.Client.has_left = lambda self: False  # type: ignore[method-assign]
+
+
+def tells_more_time() -> None:
+    """Upstreams are told half a second more than is left."""
+    head = upstreams.request_head
+    upstreams.request_head = lambda call, address, left_us: head(call, address, left_us + 500_000)
+
+
+def refuses_what_ran() -> None:
+    """What has failed is called refused."""
+    respond = server.Client.answer
+
+    def refused(self: server.Client, answer: Answer) -> None:
+        respond(self, Answer(Verdict.REFUSED) if answer.verdict is Verdict.FAILED else answer)
+
+    server.Client.answer = refused  # type: ignore[method-assign]
+
+
+def dies() -> None:
+    """The process ends at its tenth request."""
+    take = server.Client.take
+    count = 0
+
+    def last(self: server.Client) -> None:
+        nonlocal count
+        count += 1
+        if count == 10:
+            os._exit(3)
+        take(self)
+
+    server.Client.take = last  # type: ignore[method-assign]
+
+
+def leaves_strangers_waiting() -> None:
+    """Nobody looks at connections on which nothing comes."""
+    server.Client.check = lambda self, now_us: None  # type: ignore[method-assign]
+
+
+MISDEEDS = {deed.__name__: deed for deed in (
+    answers_twice, repeats_unsafe, sends_to_drained, pushes_cold_over, holds_back, loses_requests, sends_for_who_left,
+    tells_more_time, refuses_what_ran, dies, leaves_strangers_waiting)}
 
 if __name__ == "__main__":
     MISDEEDS[sys.argv[1]]()
