--- a/tests/faulty/misdeeds.py
+++ b/tests/faulty/misdeeds.py
@@ -72,14 +72,14 @@
 
 def loses_requests() -> None:
     """One answer in five is never written."""
-    answer = server.Client.answer
+    respond = server.Client.answer
     count = 0
 
-    def forgetful(self: server.Client, answer_: Answer) -> None:
+    def forgetful(self: server.Client, answer: Answer) -> None:
         nonlocal count
         count += 1
         if count % 5:
-            answer(self, answer_)
+            respond(self, answer)
 
     server.Client.answer = forgetful  # type: ignore[method-assign]
 
