--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -17,9 +17,9 @@
 
 from garnetusher.lab.syscall_faults import Call
 from tests.machine import machine
-from tests.net import OK, PATIENCE_S, Discovery, Upstream, answering, entry, listing, read_message, request
+from tests.net import OK, PATIENCE_S, Discovery, Upstream, answering, entry, listening, listing, read_message, request
 from tests.test_crossing_stop import never_up
-from tests.test_program import SETTINGS
+from tests.test_program import SETTINGS, configuration, program
 from tests.test_sidecar import run, status
 
 SLACK_MS = 150  # of the time that an attempt tells its upstream, beyond what its client has left
@@ -243,7 +243,9 @@
     run(test)
 
 
-def test_what_came_on_a_new_connection_while_the_program_was_held_up_has_less_time_left(tmp_path: Path) -> None:
+@pytest.mark.parametrize("body", [b"b", b"x" * 150_000], ids=["short", "long body"])
+def test_what_came_on_a_new_connection_while_the_program_was_held_up_has_less_time_left(tmp_path: Path,
+                                                                                        body: bytes) -> None:
     async def test() -> None:
         upstream = Upstream(answering(OK))
         await upstream.start()
@@ -252,7 +254,7 @@
             for number in range(5):
                 async with it.held_up(0.3):
                     reader, writer = await it.connect()
-                    writer.write(request("pay", str(number), b"b", 1500))
+                    writer.write(request("pay", str(number), body, 1500))
                 assert status(await read_message(reader)) == 200
                 writer.close()
         for head, _ in upstream.requests[1:]:
@@ -329,3 +331,19 @@
         upstream.stop()
 
     run(test)
+
+
+@pytest.mark.parametrize("trouble", ["absent", "half written"])
+def test_a_start_whose_file_is_there_in_a_moment_is_a_start(tmp_path: Path, trouble: str) -> None:
+    async def test() -> None:
+        path = configuration(tmp_path)
+        text = path.read_text()
+        path.unlink()
+        if trouble == "half written":
+            path.write_text(text[:-100])
+        with program(path) as process:
+            await asyncio.sleep(0.5)
+            path.write_text(text)
+            await listening(int(json.loads(text)["listen"].split(":")[1]), lambda: process.poll() is None)
+
+    run(test)
