Date long bodies by what a hold-up kept back; wait for a file that is being replaced, and for epoll, at a start

Change: a body that is read at once after a hold-up is dated by that, for at most 0.5 s of what streams on; the gate counts what is left of a body that is not whole from its last read. A file that is absent or not in order is looked at for 1 s before the start gives up. PatientSelector tries epoll_ctl again for up to 0.5 s, standing still: rarer than the connection is dear.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -6,7 +6,6 @@
 import json
 import logging
 import os
-import selectors
 import signal
 import socket
 import sys
@@ -23,7 +22,7 @@
 from plovertrail.reload import Reloader
 from plovertrail.request import clock_us
 from plovertrail.server import Catalogue, Server
-from plovertrail.sockets import RETRY_S, is_own
+from plovertrail.sockets import RETRY_S, PatientSelector, is_own
 from plovertrail.trace import Trace
 from plovertrail.upstreams import Pool
 
@@ -34,6 +33,7 @@
 Made = TypeVar("Made")
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
+REPLACED_IN_S = 1.0  # a file that is absent or half written at a start is there by then
 START_PATIENCE_S = 5.0  # on a machine that is short: clients wait for 30 s at a start, other sidecars for 10 s
 OWN_MEMORY = 20 * 1024 * 1024  # bytes that the program takes without any request
 MEMORY_PART = 0.75  # of the limit; the rest is for short requests and for what the allocator keeps
@@ -233,7 +233,7 @@
     logs.configure()
     try:
         path = os.environ["BALANCER_CONFIG"]
-        settings = patiently(lambda: config.load(path, os.environ.get("BALANCER_ADMIN")))
+        settings = whole_file(path, os.environ.get("BALANCER_ADMIN"))
         text = os.environ.get("BALANCER_SOCKET_FD")
         inherited = config.inherited_socket(text) if text else None
     except UNREADABLE as error:
@@ -248,9 +248,22 @@
     return 0
 
 
+def whole_file(path: str, admin: str | None) -> config.Config:
+    """The configuration; raises as `config.load` on one that stays absent or not in order for a moment longer than it
+    takes to replace a file."""
+    ends_at = time.monotonic() + REPLACED_IN_S
+    while True:
+        try:
+            return patiently(lambda: config.load(path, admin))
+        except UNREADABLE:
+            if time.monotonic() >= ends_at:
+                raise
+        time.sleep(RETRY_S)
+
+
 def event_loop() -> asyncio.AbstractEventLoop:
     """A loop on epoll, also where that failed when `selectors` tried it at its import."""
-    return asyncio.SelectorEventLoop(selectors.EpollSelector())
+    return asyncio.SelectorEventLoop(PatientSelector())
 
 
 def patiently(make: Callable[[], Made]) -> Made:
--- a/plovertrail/gate.py
+++ b/plovertrail/gate.py
@@ -100,12 +100,9 @@
         return None
 
     def left_us(self, request: Request, attempt: Attempt, now_us: int) -> int:
-        """How long the answer to an attempt is waited for; a body that is still coming has not begun its time."""
+        """How long the answer to an attempt is waited for; a body that is still coming begins its time at each read."""
         if not request.whole:
-            left_us = request.call.deadline_us
-            since_us = request.asker.whole_since_us()
-            if since_us:
-                left_us -= now_us - since_us + ANSWER_MARGIN_US
+            left_us = request.asker.whole_since_us() + request.call.deadline_us - ANSWER_MARGIN_US - now_us
             return min(attempt.timeout_us or left_us, left_us)
         ends_us = request.due_us
         if attempt.timeout_us:
--- a/plovertrail/request.py
+++ b/plovertrail/request.py
@@ -86,7 +86,7 @@
         """Whether the client has closed, or ended its sending side, as far as the kernel knows by now."""
 
     def whole_since_us(self) -> int:
-        """Since when all of a body that is not read on has been here, at the soonest; 0: it is still to come."""
+        """Since when a body that has not been read whole may have been written whole, at the soonest."""
 
 
 class Denial(enum.Enum):
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -45,7 +45,8 @@
 DRAIN_IDLE_S = 1.5  # after which idle connections close: 4 s after the call none may be left that was in use
 QUIET_US = 300_000  # since a connection came or had its answer: its last request may be on its way
 SOON_US = 1_000_000  # after which another process is there in the place of one that ends
-SET_UP_US = 20_000  # what is read so soon after a connection was set up may have come with it
+SET_UP_US = 20_000  # what is read so soon after a connection was set up, or after another piece, may have come with it
+MOST_HELD_US = 500_000  # of a body that streams on and on after a hold-up, so much is what had come in it
 LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -151,6 +152,8 @@
         self.waits_us = 0  # since when a long body is not read on
         self.looked_us = 0  # when the rest of it was last seen not to be here yet
         self.rest_since_us = 0  # since when it has been; 0: it was not seen
+        self.read_us = 0  # when what was read last had come, at the soonest
+        self.read_at_us = 0  # and when it was read
         self.source: Source | None = None  # of a long answer
         self.framed = False  # it goes out in chunks
 
@@ -276,6 +279,7 @@
             if self.proven:
                 self.limit_us = self.begun_us + LONGEST_READ_US
         self.size += len(data)
+        self.note_read()
         try:
             self.feed(data)
             if self.ending:
@@ -291,6 +295,14 @@
             log.exception("a request could not be read")
             self.turn_away(500)
 
+    def note_read(self) -> None:
+        """Hazard: after a hold-up all that had come meanwhile is read piece by piece, at once."""
+        now_us, arrived_us = clock_us(), self.arrived_us()
+        at_once = now_us < self.read_at_us + SET_UP_US and self.read_us < self.read_at_us - SET_UP_US
+        if at_once and arrived_us < self.read_us + MOST_HELD_US:
+            arrived_us = min(arrived_us, self.read_us)
+        self.read_us, self.read_at_us = arrived_us, now_us
+
     def reject(self, reject: Reject) -> None:
         self.turn_away(reject.status, str(reject).encode() + b"\n")
 
@@ -325,7 +337,7 @@
 
     def take(self) -> None:
         """The request has come whole."""
-        arrived_us = self.arrived_us()
+        arrived_us = self.read_us
         self.proven = True
         if self.is_up():
             self.write(200 if self.server.ready else 503, b"")
@@ -513,18 +525,23 @@
         return min(arrived_us, self.rest_since_us or arrived_us)
 
     def whole_since_us(self) -> int:
+        """Since when a body that has not been read whole may have been written whole, at the soonest: its last bytes
+        may be in its client's kernel. While it is read as it comes that is about now."""
+        return self.waits_whole_since_us() or self.read_us
+
+    def waits_whole_since_us(self) -> int:
         """Since when all of a body that is not read on has been in the kernel, at the soonest; 0: it is still to come.
         Hazard: its client's time has begun, though the last byte has not been read."""
         if self.waits_us and not self.rest_since_us and self.length is not None and self.sock is not None:
             if self.sock.unread() >= self.length - self.passed:
-                self.rest_since_us = self.looked_us or self.waits_us
+                self.rest_since_us = self.looked_us or min(self.waits_us, self.read_us)
             else:
                 self.looked_us = clock_us()
         return self.rest_since_us
 
     def out_of_time(self, now_us: int) -> bool:
         """Whether a body that waits whole has to be answered before the next look. No upstream has had all of it."""
-        since_us = self.whole_since_us()
+        since_us = self.waits_whole_since_us()
         return bool(since_us) and self.call is not None and \
             now_us + int(CHECK_S * 1e6) > since_us + self.call.deadline_us - ANSWER_MARGIN_US
 
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -8,6 +8,7 @@
 import errno
 import fcntl
 import select
+import selectors
 import socket
 import struct
 import termios
@@ -20,6 +21,7 @@
 
 RETRY_S = 0.02  # after a call that failed for want of something here: short beside the shortest deadlines
 AT_ONCE_US = 50_000  # a read that succeeds so soon after one that did not reads what that one wanted
+STAND_STILL_S = 0.5  # within which a descriptor has to find its place in epoll
 CONNECTIONS_A_ROUND = 64  # accepted before the loop goes on to those that are there
 
 # errors of this machine: what they stop may be tried again, and they are no evidence against anybody else
@@ -193,6 +195,26 @@
             await asyncio.wait(set(self.set_up))
 
 
+class PatientSelector(selectors.EpollSelector):
+    """An epoll to which a descriptor can be added on a machine that is short for a moment, at the price of standing
+    still till it can: a connection that the loop never heard of would be lost."""
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        ends_at = time.monotonic() + STAND_STILL_S
+        while True:
+            try:
+                return super().register(fileobj, events, data)
+            except OSError as error:
+                if error.errno not in (errno.ENOMEM, errno.ENOSPC) or time.monotonic() >= ends_at:
+                    raise
+            time.sleep(RETRY_S / 4)
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        """In two steps: where the one that `selectors` makes fails, it forgets the descriptor."""
+        self.unregister(fileobj)
+        return self.register(fileobj, events, data)
+
+
 async def listen_at(address: tuple[str, int], backlog: int, patience_s: float) -> socket.socket:
     """A socket that listens there; raises OSError where that stays impossible for so long.
 
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -299,8 +299,8 @@
     await upstream.start()
     async with machine(folder, failing=(call, error, 10), settings=PATIENT,
                        known=listing(entry("u", upstream.port))) as it:
-        assert it.faults.hits(call) == 10
         assert await it.ask(request("pay", "1", b"b", 1500)) == 200
+        assert it.faults.hits(call) == 10
     upstream.stop()
 
 
@@ -309,7 +309,8 @@
     run(lambda: starts(tmp_path, call, errno.EMFILE))
 
 
-@pytest.mark.parametrize(("call", "error"), [(Call.SOCKET, errno.ENFILE), (Call.BIND, errno.EADDRINUSE)])
+@pytest.mark.parametrize(("call", "error"), [(Call.SOCKET, errno.ENFILE), (Call.BIND, errno.EADDRINUSE),
+                                             (Call.EPOLL_CTL, errno.ENOMEM)])
 def test_a_start_that_can_not_listen_for_a_moment_is_a_start(tmp_path: Path, call: Call, error: int) -> None:
     run(lambda: starts(tmp_path, call, error))
 
@@ -347,3 +348,16 @@
             await listening(int(json.loads(text)["listen"].split(":")[1]), lambda: process.poll() is None)
 
     run(test)
+
+
+def test_connections_find_their_place_in_the_loop_on_a_machine_that_is_short(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        async with machine(tmp_path, settings=PATIENT, known=listing(entry("u", upstream.port))) as it:
+            it.faults.inject(Call.EPOLL_CTL, errno.ENOMEM, for_s=0.2)
+            assert await it.ask(request("pay", "1", b"b", 1500)) == 200
+            assert it.faults.hits(Call.EPOLL_CTL) > 1
+        upstream.stop()
+
+    run(test)
