--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -284,7 +284,8 @@
     run(test)
 
 
-@pytest.mark.parametrize(("call", "error"), [(Call.ACCEPT, errno.ENONET), (Call.SEND, errno.ENOBUFS)])
+@pytest.mark.parametrize(("call", "error"), [(Call.ACCEPT, errno.ENONET), (Call.ACCEPT, errno.EAGAIN),
+                                             (Call.SEND, errno.ENOBUFS)])
 def test_what_could_not_be_accepted_or_sent_for_a_while_is_told_the_time_that_is_left(tmp_path: Path, call: Call,
                                                                                       error: int) -> None:
     async def test() -> None:
