Date what accept could not give, though its listener was readable

Cause: EAGAIN of accept counted as an empty queue, so what waited in it was dated by when accept worked again.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -521,7 +521,7 @@
         if not self.proven and clock_us() < self.set_up_us + SET_UP_US:
             arrived_us = min(arrived_us, self.made_us)
         if self.sock is not None:
-            arrived_us = min(arrived_us, self.sock.short_since_us() or arrived_us)
+            arrived_us = min(arrived_us, self.sock.reads.since_us() or arrived_us)
         return min(arrived_us, self.rest_since_us or arrived_us)
 
     def whole_since_us(self) -> int:
@@ -616,8 +616,8 @@
 
     def accepted_us(self) -> int:
         """When a connection that is accepted now was made, at the soonest."""
-        failing_since_us = self.listener.failing_since_us if self.listener is not None else 0
-        return min(self.arrived_us(), failing_since_us or clock_us())
+        stalled_since_us = self.listener.stall.since_us() if self.listener is not None else 0
+        return min(self.arrived_us(), stalled_since_us or clock_us())
 
     @property
     def ready(self) -> bool:
--- a/plovertrail/sockets.py
+++ b/plovertrail/sockets.py
@@ -42,16 +42,38 @@
     raise error
 
 
+class Stall:
+    """Since when something that is there could not be taken, as it is tried again and again.
+
+    What is taken soon after a try that failed is what that try wanted; later it is something else."""
+
+    __slots__ = ("_last_us", "_since_us")
+
+    def __init__(self) -> None:
+        self._since_us = self._last_us = 0
+
+    def note(self) -> None:
+        """It could not be taken just now."""
+        now_us = time.monotonic_ns() // 1000
+        if now_us > self._last_us + AT_ONCE_US:
+            self._since_us = now_us
+        self._last_us = now_us
+
+    def since_us(self) -> int:
+        """When what is taken now was there at the soonest; 0 if it was taken at once."""
+        return self._since_us if time.monotonic_ns() // 1000 <= self._last_us + AT_ONCE_US else 0
+
+
 class SteadySocket(socket.socket):
     """A socket whose transfers find the kernel busy, and not broken, where it is short of memory or buffers.
 
     The event loop takes any other error for the end of the connection, and what is under way on it would be lost."""
 
-    __slots__ = ("_short_since_us", "_short_us")
+    __slots__ = ("reads",)
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self._short_since_us = self._short_us = 0  # the first and the last time that nothing could be read of late
+        self.reads = Stall()  # of what is to be read
 
     def setsockopt(self, *arguments: Any) -> None:
         """As `socket.setsockopt`, but without TCP_NODELAY where there is no memory for it."""
@@ -73,19 +95,9 @@
         try:
             return super().recv_into(buffer, nbytes, flags)
         except OSError as error:
-            self._note_short()
+            self.reads.note()
             _later_if_short(error)
 
-    def _note_short(self) -> None:
-        now_us = time.monotonic_ns() // 1000
-        if now_us > self._short_us + AT_ONCE_US:
-            self._short_since_us = now_us
-        self._short_us = now_us
-
-    def short_since_us(self) -> int:
-        """Since when what is read now was there and could not be read; 0 if it could be read at once."""
-        return self._short_since_us if time.monotonic_ns() // 1000 <= self._short_us + AT_ONCE_US else 0
-
     def peer_has_ended(self) -> bool:
         """Whether the kernel knows that the peer has closed, or ended its sending side; the loop may not know yet."""
         if self.fileno() < 0:
@@ -129,7 +141,7 @@
         self.sock = sock
         self.factory = factory
         self.timer: asyncio.TimerHandle | None = None
-        self.failing_since_us = 0  # since when accept has failed; 0: it works
+        self.stall = Stall()  # of connections that are to be accepted
         self.set_up: set[asyncio.Task[Any]] = set()  # accepted, and not yet known to the loop
         sock.setblocking(False)
 
@@ -147,14 +159,15 @@
 
     def accept(self) -> bool:
         """Take some of those that are waiting; returns whether all of them were, or the queue is empty."""
-        for _ in range(CONNECTIONS_A_ROUND):
+        for number in range(CONNECTIONS_A_ROUND):
             try:
                 connection, _ = self.sock.accept()
             except BlockingIOError:
-                self.failing_since_us = 0
+                if number == 0:  # somebody else has taken it, or it can't be had yet
+                    self.stall.note()
                 return True
             except OSError as error:
-                self.failing_since_us = self.failing_since_us or time.monotonic_ns() // 1000
+                self.stall.note()
                 if error.errno in SHORTAGES:
                     self.pause()
                     self.timer = self.loop.call_later(RETRY_S, self.start)
