Move the catalogue, the sidecar's parts and the operators' calls into modules of their own

Need: __main__.py held the program, the parts that are retuned together and the admin calls; server.py the settings' names beside the connections. Nothing is decided otherwise: the code is moved as it stood.

Change: plovertrail/catalogue.py, sidecar.py, operators.py.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -16,15 +16,13 @@
 from glenkeel.wire import WireError
 from plovertrail import config, logs
 from plovertrail.admin import Admin, Route
-from plovertrail.discovery import Directory, Discovery
-from plovertrail.host import Host
-from plovertrail.lifecycle import Lifecycle
+from plovertrail.discovery import Discovery
+from plovertrail.operators import operators_calls
 from plovertrail.reload import Reloader
 from plovertrail.request import clock_us
-from plovertrail.server import Catalogue, Server
+from plovertrail.server import Server
+from plovertrail.sidecar import Sidecar
 from plovertrail.sockets import RETRY_S, PatientSelector, is_own
-from plovertrail.trace import Trace
-from plovertrail.upstreams import Pool
 
 if TYPE_CHECKING:
     from plovertrail.members import Members
@@ -35,8 +33,6 @@
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)  # what a malformed file raises
 REPLACED_IN_S = 1.0  # a file that is absent or half written at a start is there by then
 START_PATIENCE_S = 5.0  # on a machine that is short: clients wait for 30 s at a start, other sidecars for 10 s
-OWN_MEMORY = 20 * 1024 * 1024  # bytes that the program takes without any request
-MEMORY_PART = 0.75  # of the limit; the rest is for short requests and for what the allocator keeps
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 FRESH_LIST_S = 4.5  # a process that takes over from another has 6 s to say yes
 KILL_GAP_S = 0.7  # SIGKILL comes so long after the longest deadline at the soonest
@@ -133,92 +129,6 @@
         await asyncio.sleep(0.01)
 
 
-def operators_calls(sidecar: Sidecar) -> dict[bytes, Route]:
-    """The calls at the admin address."""
-    server, lifecycle = sidecar.server, sidecar.lifecycle
-
-    def ready(query: str) -> tuple[bool, str]:
-        return server.ready, lifecycle.state.value if server.host.ready else "no upstream"
-
-    def drain(query: str) -> tuple[bool, str]:
-        lifecycle.drain()
-        return True, lifecycle.state.value
-
-    def undrain(query: str) -> tuple[bool, str]:
-        lifecycle.undrain()
-        return True, lifecycle.state.value
-
-    def zones(query: str) -> tuple[bool, str]:
-        return True, json.dumps(server.host.zones(sidecar.settings.zones))
-
-    def trace(query: str) -> tuple[bool, str]:
-        name = query.removeprefix("request=")
-        events = sidecar.trace.find(name) if query else list(sidecar.trace.events)
-        return True, "\n".join(json.dumps(event.shown()) for event in events)
-
-    def counters(query: str) -> tuple[bool, str]:
-        return True, json.dumps(sidecar.trace.counts)
-
-    def order(leave: bool) -> Callable[[str], tuple[bool, str]]:
-        def call(query: str) -> tuple[bool, str]:
-            names = sidecar.settings.zones
-            name = query.removeprefix("zone=")
-            if name not in names:
-                return False, f"expected ?zone= and one of {', '.join(names)}, got {name!r}"
-            objection = server.host.order_zone(names.index(name), leave)
-            return not objection, f"zone {name} is not left: {objection}" if objection else \
-                f"zone {name} is {'left' if leave else 'returned to'} by an operator's order"
-
-        return call
-
-    return {b"/_ready": Route(b"GET", ready), b"/_lameduck/on": Route(b"POST", drain),
-            b"/_lameduck/off": Route(b"POST", undrain), b"/_zones": Route(b"GET", zones),
-            b"/_trace": Route(b"GET", trace), b"/_counters": Route(b"GET", counters),
-            b"/_zone/leave": Route(b"POST", order(True)), b"/_zone/return": Route(b"POST", order(False))}
-
-
-class Sidecar:
-    """The parts that are retuned together."""
-
-    def __init__(self, settings: config.Config, inherited: socket.socket | None = None) -> None:
-        self.settings = settings
-        self.lifecycle = Lifecycle()
-        self.trace = Trace()
-        self.pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, self.trace)
-        self.host = Host(settings.settings, settings.seed, self.pool, self.trace)
-        self.directory = Directory(settings.zones, settings.kinds)
-        self.discovery = Discovery(settings.discovery, self.directory, self.host.list_changed)
-        self.host.subscribe = self.discovery.subscribe
-        processes = 1 if inherited is None else 2  # which share the limits
-        room = int(settings.memory * MEMORY_PART / processes) - OWN_MEMORY
-        # clients hold a third of the descriptors at most, in both processes together
-        self.server = Server(self.host, settings.settings, settings.sockets // 2, self.lifecycle, room)
-
-    def start(self) -> None:
-        """Take the list as it was known, and let the module or the network side ask for a new one."""
-        if self.settings.known:
-            self.discovery.cached(self.settings.known)
-        if not self.settings.settings.list_on_request:
-            self.discovery.keep()
-        self.host.start()
-
-    def take(self, path: str) -> None:
-        """Take the file anew: all of it, once it has been checked whole; raises on what is wrong with it."""
-        settings = config.load_again(path, self.settings)
-        before, self.settings = self.settings, settings
-        self.directory.zones, self.directory.kinds = settings.zones, settings.kinds
-        self.pool.retune(settings.idle_us, settings.settings.connect_timeout_us)
-        self.server.catalogue = Catalogue(settings.settings)
-        self.host.retune(settings.settings)
-        if settings.discovery != before.discovery:
-            self.discovery.move(settings.discovery)
-        if settings.settings.list_on_request != before.settings.list_on_request:
-            self.discovery.kept = not settings.settings.list_on_request
-            self.discovery.subscribe(self.discovery.kept)
-        log.info("the configuration is taken anew, with the classes %s",
-                 ", ".join(kind.name for kind in settings.settings.classes))
-
-
 async def run(settings: config.Config, path: str, inherited: socket.socket | None) -> None:
     """Serve until SIGTERM; SIGHUP means that the file has been replaced."""
     stop = asyncio.Event()
--- a/tests/test_crossing_retries.py
+++ b/tests/test_crossing_retries.py
@@ -51,6 +51,28 @@
     run(test)
 
 
+def test_what_waits_for_a_connection_to_an_upstream_that_starts_anew_goes_elsewhere() -> None:
+    """It was chosen as a warm one; the connection would come up to a cold one."""
+    async def test() -> None:
+        other, discovery = Upstream(answering(OK)), Discovery()
+        await other.start()
+        with never_up() as port:
+            async with sidecar(known=listing(entry("u0", port)), discovery=discovery, warm_up_us=60_000_000,
+                               connect_timeout_us=60_000_000) as it:
+                await discovery.watched()
+                reader, writer = await it.connect()
+                writer.write(request("pay", body=b"b"))
+                await asyncio.sleep(0.1)
+                anew = entry("u0", port, boot_ms=int(time.time() * 1000))
+                discovery.line(listing(anew, entry("u1", other.port), rev=2, full=False))
+                assert status(await read_message(reader)) == 200
+                writer.close()
+        assert len(other.requests) == 1
+        other.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("moved", [True, False])
 def test_what_is_chosen_and_recalled_in_one_round_of_the_loop_is_sent_once(moved: bool) -> None:
     async def test() -> None:
--- a/tests/test_crossing_settings.py
+++ b/tests/test_crossing_settings.py
@@ -9,7 +9,7 @@
 import pytest
 
 from glenkeel.interface import RequestClass, Settings, SettingsChanged, Tenant, places_before
-from plovertrail.server import Catalogue
+from plovertrail.catalogue import Catalogue
 from tests.world import World, classes, settings, upstreams
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -12,8 +12,8 @@
 from glenkeel.interface import RequestClass, Settings
 from plovertrail import server as server_module
 from plovertrail.body import LONGEST, Head, Room, Source, Upload
+from plovertrail.catalogue import Catalogue
 from plovertrail.request import Call, Result
-from plovertrail.server import Catalogue
 from plovertrail.upstreams import SETTLE_US, Pool
 from tests.net import (
     NOT_RUN,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,9 +17,9 @@
 
 import pytest
 
-from plovertrail.__main__ import Sidecar
 from plovertrail.config import Config, flatten, load
 from plovertrail.reload import Reloader
+from plovertrail.sidecar import Sidecar
 from tests.net import (
     OK,
     PATIENCE_S,
