--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -68,6 +68,13 @@
     assert broken is not None and broken.rule in ("convergence", "limits")
 
 
+@pytest.mark.parametrize("seed", [9_182_256, 9_182_296])
+def test_schedules_that_broke_a_rule_once_hold(seed: int) -> None:
+    """A process started anew with the boot of the one before it; two that never found each other behind a dead seed."""
+    part = Membership()
+    assert part.play(part.draw(seed, 120)) is None
+
+
 def test_a_death_is_noticed_by_all_and_nobody_else_is_accused_though_a_tenth_is_starved() -> None:
     members, nodes = fleet(30, loss=0.1)
     for node in nodes[3:6]:
