Tell a member from an earlier process of its boot, and look for all seeds while alone

The others have heard higher sequence numbers under it and drop what it says as replayed; it refuted their news of a failure under that boot, for good. And one whose only peer died as it welcomed it tried one of its lost seeds by chance once a second: behind a dead seed and with 30 in 100 datagrams lost it could take longer than views may differ.

Change: news of a failure that comes before anybody has answered is of an earlier process: the boot goes above it. While it knows nobody a member looks for all it has lost, not for one of them.

--- a/garnetusher/membership/core.py
+++ b/garnetusher/membership/core.py
@@ -165,6 +165,7 @@
         self.phase = "joining"
         self.present_us = 0  # since when it is
         self.welcomed = 0  # members that it was told of at its start, who may still be on their way into its view
+        self.acknowledged = False  # somebody has answered this process: others know of it, and not of one before it
         self.health = 0  # Lifeguard's: the worse, the higher
         self.probes: dict[int, _Probe] = {}
         self.relays: dict[int, tuple[int, Address]] = {}  # this member's ping for another: its number, whom to tell
@@ -351,6 +352,7 @@
     def _answered(self, number: int) -> None:
         if number in self.probes:
             del self.probes[number]
+            self.acknowledged = True
             self._worse(-1)
         if number in self.relays:
             their, address = self.relays.pop(number)
@@ -452,6 +454,10 @@
         elif entry.incarnation > self.incarnation and entry.address == self.me.address:
             # hazard: an earlier process had this very boot, as a clock went back: what this one says is taken for its
             self._outbid(entry)
+        elif entry.state != State.PRESENT and entry.incarnation >= self.incarnation and not self.acknowledged:
+            # hazard: an earlier process had this very boot; under it others drop what this one says, as they have heard
+            # higher sequence numbers
+            self._outbid(entry)
         elif entry.state != State.PRESENT and entry.incarnation >= self.incarnation:
             self.incarnation = entry.incarnation + 1
             self._actions.append(Keep(self.boot, self.incarnation))
@@ -526,6 +532,7 @@
             self._on_joiner(body, address)
         elif isinstance(body, Welcome):
             self.welcomed = max(self.welcomed, body.members)
+            self.acknowledged = True
             self._welcomed(body.known)
         elif isinstance(body, Ping):
             self._on_ping(body, sender, address)
@@ -628,7 +635,13 @@
         lost += [seed for seed in self.settings.seeds if seed not in there]
         if not lost:
             return
-        address = self.random.choice(lost)
+        # hazard: the one who welcomed it may have died since; to find one of several seeds by chance may take too long
+        alone = self.view.present <= 1
+        for address in lost if alone else [self.random.choice(lost)]:
+            self._find(address)
+
+    def _find(self, address: Address) -> None:
+        """Whoever is there hears of this member and of what it knows."""
         entry = next((e for e in self.view.entries.values() if e.address == address), None)
         if entry is None:
             self._send(address, Buckets(self.view.digests, answer=True), self.me)
