Add `garnetusher lab size`: what a sidecar needs beside 16 times the upstreams, each row beside its limit

Change: garnetusher/lab/soak/size.py, one real sidecar with 40 requests a second and a change of the list twice a second, beside 200 and 3,200 upstreams: CPU, memory, descriptors, connections, bytes of lists, share served.

--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -19,6 +19,7 @@
 from garnetusher.lab.soak import campaign as campaigns
 from garnetusher.lab.soak import plan as soak_plan
 from garnetusher.lab.soak import run as soak_run
+from garnetusher.lab.soak import size as soak_size
 from garnetusher.lab.soak import sweep as soak_sweep
 from garnetusher.lab.syscall_faults import CompilerError
 from garnetusher.model import baselines, figures, result
@@ -175,6 +176,27 @@
     raise typer.Exit(cli.NOT_HELD if any(row.broken for row in rows) else cli.HELD)
 
 
+@app.command(epilog="Example: garnetusher lab size --upstreams 200 --times 16 --out found/size")
+def size(upstreams: Annotated[int, typer.Option(min=1, help="At the usual size.")] = 200,
+         times: Annotated[int, typer.Option(min=2, max=16, help="How many times as many at the larger size.")] = 16,
+         seconds: Annotated[float, typer.Option(min=1.0, help="Of each of the two plays.")] = 20.0,
+         out: Annotated[Path | None, typer.Option(help="A new folder for logs and figures.")] = None,
+         tree: Tree = Path("."), json: Json = False) -> None:
+    """Play the same day beside few and many upstreams; print what a sidecar needs beside what it may."""
+    folder = (out or Path("found") / f"size-{time.strftime('%H%M%S')}").resolve()
+    sidecar_processes.build(tree.resolve())
+    try:
+        rows = soak_size.measure(upstreams, times, seconds, folder, tree.resolve())
+    except (LabError, OSError) as error:
+        cli.fail(str(error))
+    if json:
+        cli.say_json({"rows": [msgspec.to_builtins(row) | {"kept": row.kept} for row in rows]})
+    else:
+        cli.say(f"| what | {upstreams} upstreams | {upstreams * times} | limit | |\n| --- | ---: | ---: | ---: | --- |")
+        cli.say("\n".join(row.line() for row in rows))
+    raise typer.Exit(cli.HELD if all(row.kept for row in rows) else cli.NOT_HELD)
+
+
 def _range(seeds: str) -> range:
     first, colon, last = seeds.partition(":")
     if not first.isdecimal() or (colon and not last.isdecimal()):
--- a/garnetusher/lab/soak/discovery.py
+++ b/garnetusher/lab/soak/discovery.py
@@ -47,6 +47,7 @@
         self.silent_since_s = 0.0  # of the watches that are open; 0: they talk
         self.silent: set[asyncio.StreamWriter] = set()
         self.reloaded_s = -1e9
+        self.told_bytes = 0  # of lists and changes
         self.servers: list[asyncio.Server] = []
         self.port = 0
 
@@ -99,6 +100,7 @@
             return
         data = (json.dumps(lines).encode() if lines is not None else b"") + b"\n"
         writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.told_bytes += len(data)
 
     def change(self, number: int, state: str, boot_ms: int) -> None:
         """Discovery has news of one upstream."""
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -26,6 +26,7 @@
         self.connections: set[Connection] = set()
         self.links: dict[int, Link] = {}  # by sidecar
         self.gone = False
+        self.accepted = 0  # connections
 
     async def open(self, sidecars: int) -> None:
         for sidecar in range(sidecars):
@@ -70,6 +71,7 @@
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self.sock.accept()
+                self.upstream.accepted += 1
                 self.loop.create_task(self.loop.connect_accepted_socket(lambda: Connection(self), sock))
 
     def hold_back(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from garnetusher.lab.soak.records import Attempt, Change, End, Records, Request, Step
 from garnetusher.lab.soak.reduce import reduced
 from garnetusher.lab.soak.run import play
+from garnetusher.lab.soak.size import Need, rows
 from tests.experiment import ROOT
 from tests.test_lab import tree
 
@@ -126,6 +127,14 @@
     assert verdicts(killed, SENT, steps=(Step(0, "term", 10.15),)) == {"lost"}
 
 
+def test_what_many_upstreams_may_need_is_judged_row_by_row() -> None:
+    usual, large = Need(200, 1.0, 20.0, 40, 60, 40.0, 1.0), Need(3200, 1.8, 50.0, 120, 190, 1700.0, 0.85)
+    assert [row.kept for row in rows(usual, large)] == [True] * 6
+    over = Need(3200, 1.9, 51.0, 121, 191, 1800.0, 0.84)
+    assert [row.kept for row in rows(usual, over)] == [False] * 6
+    assert rows(usual, over)[0].line() == "| CPU seconds | 1 | 1.9 | 1.804 | OVER |"
+
+
 # The oracle, on programs with one fault each
 
 ERRORS = Trouble("errors", 0.5, 2.0, [0, 1, 2, 3], 0.5)
