Excuse what was written into a listener's queue from being dated by when it was read

The trouble "late" fills a listener's queue; a connection whose handshake was over in that moment is up for the sidecar, which wrote at once and told what was left then; the stand-in read it 1.6 s later, when it accepted again. The attempt was chosen, written and told in order.

Connections whose handshake comes late, which are what the trouble is for, are accepted by their retry, and judged as before.

--- a/garnetusher/lab/soak/records.py
+++ b/garnetusher/lab/soak/records.py
@@ -51,6 +51,7 @@
     starts: int  # of the upstream: which of its lives
     whole_s: float = 0.0
     turned_away: bool = False
+    queued: bool = False  # it was written before it could be read: when, nobody here knows
 
 
 @dataclass(slots=True)
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -10,6 +10,7 @@
 from garnetusher.lab.soak.records import Attempt, Records, now_s
 
 BACKLOG = 4  # few, so that the backlog can be filled: connections that come then are up a second later
+QUEUED_S = 0.05  # after a listener accepts again, what it accepts was in its queue
 OK_BODY = b"done"
 GARBAGE = (b"HTTP/1.1 200 OK\r\nContent-Length: zz\r\n\r\n", b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\n")
 
@@ -65,6 +66,7 @@
         self.sock.listen(BACKLOG)
         self.port = int(self.sock.getsockname()[1])
         self.fillers: list[socket.socket] = []
+        self.let_in_s = 0.0  # when it last began to accept again
         self.loop.add_reader(self.sock.fileno(), self.accept)
 
     def accept(self) -> None:
@@ -87,6 +89,7 @@
         for filler in self.fillers:
             filler.close()
         self.fillers.clear()
+        self.let_in_s = now_s()
         if self.sock.fileno() >= 0:
             self.loop.add_reader(self.sock.fileno(), self.accept)
 
@@ -104,6 +107,8 @@
         self.transport: asyncio.Transport | None = None
         self.data = b""
         self.attempt: Attempt | None = None
+        # what its sidecar has taken for a connection was in the queue, and what it wrote was not read
+        self.queued = now_s() < link.let_in_s + QUEUED_S
         self.head_end = 0
         self.length = 0
         self.idle: asyncio.TimerHandle | None = None
@@ -149,7 +154,9 @@
         self.length = int(fields.get(b"content-length", b"0"))
         self.chunked = fields.get(b"transfer-encoding") == b"chunked"
         self.attempt = Attempt(fields[b"x-request-id"].decode(), self.link.sidecar, self.upstream.number,
-                               self.first_byte_s, int(fields[b"x-deadline-ms"]) / 1000, self.upstream.starts)
+                               self.first_byte_s, int(fields[b"x-deadline-ms"]) / 1000, self.upstream.starts,
+                               queued=self.queued)
+        self.queued = False
         self.upstream.records.attempts.append(self.attempt)
 
     def whole(self) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,6 +108,7 @@
     (with_request(left_s=10.1, end=End.CLOSED), (with_attempt(first_byte_s=10.15),), set()),
     (with_request(left_s=10.1, end=End.CLOSED), (with_attempt(first_byte_s=10.3, told_s=0.5),), {"left"}),
     (ASKED, (with_attempt(first_byte_s=10.5),), {"told"}),
+    (ASKED, (with_attempt(first_byte_s=10.5, queued=True),), set()),
 ])
 def test_a_rule_is_judged_by_its_words(request_: Request, attempts: tuple[Attempt, ...], expected: set[str]) -> None:
     assert verdicts(request_, *attempts) == expected
