Judge the moment of a write by what the stand-ins and a hold-up can explain, and no more

Change: a stop that began after the request was there and ended as its attempt was written adds what it was longer than 0.15 s; one that began before does not. The stand-ins' lateness counts only where it ended as they dated what is judged, which is stricter. The play of that seeded fault drains for longer, with more requests.

Measured: the tests of the oracle pass, all eight seeded faults are caught, five sound plays are not blamed.

--- a/garnetusher/lab/soak/oracle.py
+++ b/garnetusher/lab/soak/oracle.py
@@ -11,6 +11,7 @@
 
 LATE_S = 0.5  # an answer may be so late and only earns nothing
 LEFT_S = 0.1  # an attempt may begin so long after its client closed
+HELD_S = 0.15  # a process may be held up for so long between its look at the clock and its write
 TOLD_SLACK_S = 0.15  # of the time told to an upstream
 WINDOW_SLACK_S = 0.2  # a hold-up of 0.15 s between the look and the write, and 50 ms that sockets have
 DRAIN_S = 1.05  # after it is told, and the 50 ms that sockets have
@@ -67,10 +68,17 @@
                 spans[step.sidecar].append((open_s.pop(step.sidecar), step.at_s))
         return spans
 
-    def _slack_s(self, sidecar: int, start_s: float, end_s: float) -> float:
-        """What the stand-ins' own lateness explains, and a stop of the sidecar between its look and its write."""
-        lag_s = max((lag for at_s, lag in self.records.lags if start_s - lag <= at_s <= end_s + lag), default=0.0)
-        return STAND_INS_S + lag_s
+    def _slack_s(self, at_s: float) -> float:
+        """How late the stand-ins may have seen what they dated so: by their own lateness, which ended just then."""
+        lags = [lag for ended_s, lag in self.records.lags if ended_s - lag <= at_s <= ended_s + STAND_INS_S]
+        return STAND_INS_S + max(lags, default=0.0)
+
+    def _held_s(self, request: Request, attempt: Attempt) -> float:
+        """How much longer a process was held up than it may be between its look at the clock and its write, if that can
+        explain the attempt: a stop that began after its request was there, and ended as the attempt was written."""
+        stops = [end_s - start_s for start_s, end_s in self.stops[attempt.sidecar]
+                 if request.sent_s <= start_s and end_s <= attempt.first_byte_s <= end_s + STAND_INS_S]
+        return max(0.0, max(stops, default=0.0) - HELD_S)
 
     def _stopped_at(self, sidecar: int, at_s: float) -> float:
         """How long a stop lasted that a moment lies in, or just behind."""
@@ -97,8 +105,7 @@
         if request.left_s or self._excused(request):
             return
         late_s = request.ended_s - request.sent_s - request.deadline_s
-        if request.end is End.SILENT or late_s > LATE_S + self._slack_s(request.sidecar, request.sent_s,
-                                                                        request.ended_s):
+        if request.end is End.SILENT or late_s > LATE_S + self._slack_s(request.ended_s):
             self.breach("lost", request.sent_s, f"{request.ident} {request.kind}: {request.end} after its time and "
                         f"{late_s:.3f} s")
         elif request.end is End.CLOSED and (self.attempts[request.ident] or request.new_connection):
@@ -140,7 +147,7 @@
             return
         for attempt in self._dated(request):
             after_s = attempt.first_byte_s - request.left_s
-            if after_s > LEFT_S + self._slack_s(request.sidecar, request.left_s, attempt.first_byte_s):
+            if after_s > LEFT_S + self._slack_s(attempt.first_byte_s) + self._held_s(request, attempt):
                 self.breach("left", attempt.first_byte_s, f"{request.ident}: an attempt began {after_s:.3f} s after "
                             "its client closed")
 
@@ -152,8 +159,8 @@
         """The time told is what the client has left."""
         for attempt in self._dated(request):
             left_s = request.sent_s + request.deadline_s - attempt.first_byte_s
-            if attempt.told_s > left_s + TOLD_SLACK_S + self._slack_s(request.sidecar, request.sent_s,
-                                                                     attempt.first_byte_s):
+            slack_s = TOLD_SLACK_S + self._slack_s(attempt.first_byte_s) + self._held_s(request, attempt)
+            if attempt.told_s > left_s + slack_s:
                 self.breach("told", attempt.first_byte_s, f"{request.ident}: told {attempt.told_s:.3f} s with "
                             f"{left_s:.3f} s left")
 
@@ -172,7 +179,7 @@
                     break
                 first = change
             after_s = attempt.first_byte_s - max(first.told_s, self._asks_by(attempt))
-            if after_s > DRAIN_S + self._slack_s(attempt.sidecar, first.told_s, attempt.first_byte_s):
+            if after_s > DRAIN_S + self._slack_s(attempt.first_byte_s):
                 self.breach("drain", attempt.first_byte_s, f"{attempt.ident}: sent to u{attempt.upstream} "
                             f"{after_s:.3f} s after {first.state} was told")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -122,6 +122,10 @@
     assert verdicts(ASKED, SENT, changes=(Change(1, 0, "leaving", 8.0),)) == set()
     assert verdicts(ASKED, SENT, strangers=((0, 5.0, 8.5), (0, 5.0, 0.0), (1, 5.0, 7.9))) == {"strangers"}
     assert verdicts(ASKED, SENT, steps=(Step(0, "died", 9.0, "3"),)) == {"crash"}
+    late = with_attempt(first_byte_s=10.31)
+    assert verdicts(ASKED, late) == {"told"}
+    for began_s, expected in ((10.02, set()), (9.98, {"told"})):  # before it came, or after: then it was chosen late
+        assert verdicts(ASKED, late, steps=(Step(0, "stop", began_s), Step(0, "continue", 10.3))) == expected
     assert verdicts(ASKED, SENT, steps=(Step(0, "start", 1.0), Step(0, "ready", 12.0))) == {"ready"}
     killed = with_request(end=End.CLOSED)
     assert verdicts(killed, SENT, steps=(Step(0, "kill", 10.15),)) == set()
@@ -143,7 +147,7 @@
     "loses_requests": ("lost", small()),
     "repeats_unsafe": ("duplicate", small(ERRORS)),
     "refuses_what_ran": ("duplicate", small(ERRORS)),
-    "sends_to_drained": ("drain", small(Trouble("drain", 0.3, 2.0, [0, 1]), seconds=5.0)),
+    "sends_to_drained": ("drain", small(Trouble("drain", 0.3, 3.0, [0, 1]), seconds=6.0, rate_per_s=20.0)),
     "sends_for_who_left": ("left", small(Trouble("leavers", 0.3, 2.5, [0, 1]),
                                          Trouble("reset", 1.0, 0.1, [0, 1, 2], 1.0))),
     "tells_more_time": ("told", small()),
