Let the test of late connections take no more from its listener's queue than is there

An unsafe request is not sent again, so nothing came for 20 s. The sidecar is not at fault.

Change: the queue is emptied without waiting; what is judged is as it was.

--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -62,7 +62,7 @@
             held.setblocking(False)
             for filler in fillers:
                 with contextlib.suppress(BlockingIOError):
-                    (await loop.sock_accept(held))[0].close()
+                    held.accept()[0].close()  # no more than is there: the next to come is the sidecar's
                 filler.close()
             async with asyncio.timeout(PATIENCE_S):
                 head = b""
