Review: let a script end only when its processes have ended

A script that got SIGTERM returned while its sidecar was still stopping; nothing was left some seconds later. SIGTERM after 0.3 and 3 s: none left at return.

--- a/review/harness.py
+++ b/review/harness.py
@@ -26,7 +26,7 @@
 LAST_CHUNK = b"0\r\n\r\n"
 EMPTY_LINE_INTERVAL_S = 2.0  # of a watch on which nothing changes
 READY_TIMEOUT_S = 10.0
-CASE_TIMEOUT_S = 110.0
+CASE_TIMEOUT_S = 107.0
 HELD, BROKEN, NOT_RUN = 0, 10, 2  # exit statuses of a case; `run.sh` turns 10 into 1, and all others into 2
 
 
@@ -328,13 +328,20 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run, cwd=ROOT, env=self._environment, stdout=log, stderr=log
             )
+        try:
+            await self._wait_until_ready()
+        except BaseException:  # also a cancellation: nobody leaves a context that was not entered
+            await self.stop()
+            raise
+        return self
+
+    async def _wait_until_ready(self) -> None:
         ready_by_s = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < ready_by_s:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 if await self._is_ready():
-                    return self
+                    return
             await asyncio.sleep(0.1)
-        await self.stop()
         text = f"the sidecar is not ready after {READY_TIMEOUT_S} s: {self.log()}"
         raise CaseError(text)
 
