--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -119,6 +120,11 @@
     await writer.drain()
 
 
+def use_default_socket_options(writer: asyncio.StreamWriter) -> None:
+    """Undo TCP_NODELAY, which only this library sets by itself; a plain TCP socket does not have it."""
+    writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+
+
 @dataclass
 class Upstream:
     """An upstream of the pages: it runs a request from its last byte on, one at a time on each connection.
@@ -428,7 +434,7 @@
     try:
         held = asyncio.run(_run(case, record))
     except (Exception, asyncio.CancelledError) as error:  # whatever stops a case, its rule has not been checked
-        record.write(f"could not run: {error!r}")
+        record.write(f"could not run: {error!r}\n{traceback.format_exc()}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return NOT_RUN
     record.write("held" if held else "BROKEN")
