--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,159 +1,119 @@
-"""Each request that was written whole gets its final answer in time, also when an upstream hangs."""
+"""Clients that leave early: does the sidecar stay under its limit on memory?"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import fcntl
 import random
-import socket
-import struct
 import sys
-import termios
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-import harness
+from harness import Discovery, Record, Sidecar, main, read_message, request_head, start_upstreams
 
-SEED = 35
 UPSTREAMS = 12
-HANGING = 2  # 17% of 12
-HANG_S = 20.0
-BEFORE_S, AFTER_S = 2.0, 3.0
-CLIENTS = 6
-THINK_TIME_S = 0.2
-DEADLINE_MS = 2000
-SLACK_S = 0.5 + 0.05  # an answer that comes later than this after the time of the request is too late
-BODY_SIZES = (4_000_000, 8_000_000)
-WRITE_TIMEOUT_S = 10.0  # a client that cannot write the whole body gives up; its request was never taken
-
-
-@dataclass
-class Results:
-    """What the clients saw.
-
-    Attributes:
-        answers: the number of answers of the sidecar in time, with each status.
-        lost: the requests that were written whole and got no final answer in time.
-        given_up: the number of requests that could not be written whole.
-    """
-
-    answers: Counter[str] = field(default_factory=Counter)
-    lost: list[str] = field(default_factory=list)
-    given_up: int = 0
-
-
-def unacknowledged(sock: socket.socket) -> int:
-    """Return how many written bytes the sidecar's machine has not acknowledged yet."""
-    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0])
-
-
-async def read_answer(sock: socket.socket) -> str:
-    """Return the status of the next answer, once its head and its body have come."""
-    loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader()
-    while True:
-        data = await loop.sock_recv(sock, 65536)
-        if not data:
-            return "closed"
-        reader.feed_data(data)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.01):
-                return (await harness.read_message(reader)).status
-
-
-async def send(sidecar: harness.Sidecar, request_id: str, size: int, *, is_chunked: bool) -> tuple[str, float, int]:
-    """Send one request on a connection of its own.
-
-    Returns:
-        The status of the answer, "none" or "not written"; the seconds since the last byte was written; and the bytes
-        that the sidecar's machine had not acknowledged when the client stopped waiting.
-    """
-    loop = asyncio.get_running_loop()
-    body = request_id.encode().ljust(size, b".")
-    framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {size}"
-    data = harness.request_head("version-publish", request_id, DEADLINE_MS, framing)
-    data += harness.chunked(body) if is_chunked else body
-    with socket.socket() as sock:
-        sock.setblocking(False)  # noqa: FBT003
-        await loop.sock_connect(sock, (harness.HOST, sidecar.port))
-        answer = asyncio.create_task(read_answer(sock))
+CLIENTS = 120  # clients may hold a third of 384 descriptors
+BODY = bytes(64 * 1024)  # "A body holds at most 64 KiB"
+READS_BEFORE_PUBLISH = (18, 30)  # number of reads on a connection before its one long request
+MAX_PAUSE_S = 0.8  # between two requests of a client
+LEAVES_AFTER_S = 0.05
+DURATION_S = 100.0
+SAMPLE_INTERVAL_S = 0.1
+RECORD_INTERVAL_S = 5.0
+READ_DEADLINE_MS, PUBLISH_DEADLINE_MS = 1500, 2000
+
+
+class Clients:
+    """The client connections of one application; each carries some reads and ends with a publish."""
+
+    def __init__(self, sidecar: Sidecar, record: Record) -> None:
+        self.counts: Counter[str] = Counter()
+        self.waiting: set[str] = set()  # requests that were sent whole, and whose client waits for the answer
+        self._sidecar = sidecar
+        self._record = record
+
+    async def run(self, number: int) -> None:
+        """Use one connection after the other until the task is cancelled."""
+        rng = random.Random(number)
+        connections = 0
+        while True:
+            connections += 1
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._use_connection(f"c{number}-{connections}", rng)
+
+    async def _use_connection(self, name: str, rng: random.Random) -> None:
+        reader, writer = await self._sidecar.connect()
         try:
-            try:
-                async with asyncio.timeout(WRITE_TIMEOUT_S):
-                    await loop.sock_sendall(sock, data)
-            except (OSError, TimeoutError):
-                return "not written", 0.0, 0
-            written_s = time.monotonic()
-            done, _ = await asyncio.wait([answer], timeout=DEADLINE_MS / 1000 + 2 * SLACK_S)
-            status = "none"
-            if done:
-                with contextlib.suppress(OSError):
-                    status = answer.result()
-            return status, time.monotonic() - written_s, unacknowledged(sock)
+            for index in range(rng.randint(*READS_BEFORE_PUBLISH)):
+                await asyncio.sleep(rng.random() * MAX_PAUSE_S)
+                request_id = f"{name}-r{index}"
+                writer.write(request_head("manifest-read", request_id, READ_DEADLINE_MS))
+                await self._wait_for_answer(request_id, reader)
+            request_id = f"{name}-p"
+            framing = f"Content-Length: {len(BODY)}"
+            writer.write(request_head("version-publish", request_id, PUBLISH_DEADLINE_MS, framing) + BODY)
+            await writer.drain()
+            if self._record.trouble:
+                await asyncio.sleep(LEAVES_AFTER_S)
+                self.counts["left early"] += 1
+                self._record.write(f"{request_id} leaves")
+            else:
+                await self._wait_for_answer(request_id, reader)
         finally:
-            answer.cancel()
-
-
-async def client(
-    number: int, stop_s: float, sidecar: harness.Sidecar, results: Results, record: harness.Record
-) -> None:
-    """Send one request after the other, with bodies of any size and both framings."""
-    rng = random.Random(f"{SEED}-{number}")
-    count = 0
-    while time.monotonic() < stop_s:
-        count += 1
-        request_id = f"c{number}-{count}"
-        size, is_chunked = rng.randint(*BODY_SIZES), rng.random() < 0.5
-        framing = "chunked" if is_chunked else "Content-Length"
-        record.write(f"client {number} sends {request_id}: {size} bytes, {framing}")
-        status, passed_s, rest = await send(sidecar, request_id, size, is_chunked=is_chunked)
-        text = f"{request_id}: {status}, {passed_s:.3f} s after the last byte was written"
-        if status == "not written":
-            results.given_up += 1
-        elif status in ("none", "closed") or passed_s > DEADLINE_MS / 1000 + SLACK_S:
-            results.lost.append(request_id)
-            text = f"LOST {text} ({framing}, {rest} bytes not acknowledged)"
-        else:
-            results.answers[status] += 1
-        record.write(f"client {number} got for {text}")
-        await asyncio.sleep(rng.expovariate(1 / THINK_TIME_S))
-
-
-async def case(folder: Path, record: harness.Record) -> bool:
-    """Return whether each request that was written whole got its final answer in time."""
-    results = Results()
-    upstreams = await harness.start_upstreams(UPSTREAMS, record)
-    discovery = harness.Discovery(upstreams, record)
+            writer.close()
+
+    async def _wait_for_answer(self, request_id: str, reader: asyncio.StreamReader) -> None:
+        self.waiting.add(request_id)
+        answer = await read_message(reader)
+        self.waiting.discard(request_id)
+        self.counts[answer.status] += 1
+        self._record.write(f"{request_id} gets {answer.status}")
+
+
+async def watch_memory(sidecar: Sidecar, clients: Clients, record: Record) -> bool:
+    """Act as the platform, which kills a sidecar over its limit; return whether it stayed under it."""
+    started_s = time.monotonic()
+    next_record_s = peak_mb = 0.0
+    while (elapsed_s := time.monotonic() - started_s) < DURATION_S:
+        memory_mb = sidecar.own_memory_mb()
+        peak_mb = max(peak_mb, memory_mb)
+        is_over = memory_mb > sidecar.memory_mb
+        if elapsed_s >= next_record_s or is_over:
+            next_record_s += RECORD_INTERVAL_S
+            record.write(f"after {elapsed_s:.1f} s: {memory_mb:.1f} MB of {sidecar.memory_mb}, {dict(clients.counts)}")
+        if is_over:
+            sidecar.process.kill()
+            text = f"killed after {elapsed_s:.1f} s with {memory_mb:.1f} MB; requests lost: {len(clients.waiting)}"
+            record.write(f"{text}: {sorted(clients.waiting)}")
+            print(f"{text}, {dict(clients.counts)}")
+            return False
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+    print(f"peak {peak_mb:.1f} MB, {dict(clients.counts)}")
+    record.write(f"peak {peak_mb:.1f} MB")
+    return True
+
+
+async def case(folder: Path, record: Record) -> bool:
+    """Return whether the sidecar stays under its limit on memory."""
+    upstreams = await start_upstreams(UPSTREAMS, record)
+    for upstream in upstreams:
+        upstream.work_s = 0.1
+    discovery = Discovery(upstreams, record)
     await discovery.start()
-    async with harness.Sidecar(folder, discovery) as sidecar:
-        stop_s = time.monotonic() + BEFORE_S + HANG_S + AFTER_S
-        clients = asyncio.gather(*(client(number, stop_s, sidecar, results, record) for number in range(CLIENTS)))
-        await asyncio.sleep(BEFORE_S)
-        if record.trouble:
-            for upstream in upstreams[:HANGING]:
-                record.write(f"{upstream.name} hangs")
-                upstream.running.clear()
-        await asyncio.sleep(HANG_S)
-        for upstream in upstreams[:HANGING]:
-            upstream.running.set()
-        record.write("no upstream hangs")
-        await clients
-        if sidecar.process.returncode is not None:
-            text = f"the sidecar has ended: {sidecar.log()}"
-            raise harness.CaseError(text)
-    result = f"answers {dict(results.answers)}, lost {len(results.lost)}, not written whole {results.given_up}"
-    record.write(result)
-    print(result)
-    if not results.answers["200"]:
-        text = "nothing was served"
-        raise harness.CaseError(text)
-    return not results.lost
+    async with Sidecar(folder, discovery, memory_mb=80, sockets=384) as sidecar:
+        record.write(f"at the start: {sidecar.own_memory_mb():.1f} MB")
+        clients = Clients(sidecar, record)
+        tasks = [asyncio.create_task(clients.run(number)) for number in range(CLIENTS)]
+        try:
+            return await watch_memory(sidecar, clients, record)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 if __name__ == "__main__":
-    sys.exit(harness.main(__file__, case))
+    sys.exit(main(__file__, case))
