Release what an ended connection or attempt owns without the collector

Cause: a request reader and its parser refer to each other, and the reader's callback to the connection. Only the cycle collector freed them and the last request, and it counts objects, not bytes. The same held for response readers of abandoned attempts, streamed responses, rejections, failed socket calls, watches, admin connections and three timers.

--- a/garnetusher/sidecar/admin/server.py
+++ b/garnetusher/sidecar/admin/server.py
@@ -28,7 +28,7 @@
 
     def __init__(self, server: AdminServer) -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._timeout: asyncio.TimerHandle | None = None
         self._target = b""
@@ -44,14 +44,15 @@
         self._timeout = self._server.loop.call_later(REQUEST_TIMEOUT_S, self._respond, response)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Unregister from the server and cancel the timeout."""
+        """Unregister from the server, discard the parser, which refers to this object, and cancel the timeout."""
         self._server.remove(self)
+        self._parser = None
         if self._timeout is not None:
             self._timeout.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Parse more of the request."""
-        if self._is_answered:
+        if self._is_answered or self._parser is None:
             return
         self._received_bytes += len(data)
         try:
@@ -68,7 +69,7 @@
 
     def on_message_complete(self) -> None:
         """Answer the request."""
-        if self._is_request_complete:
+        if self._is_request_complete or self._parser is None:
             return
         self._is_request_complete = True
         path, _, query = self._target.partition(b"?")
--- a/garnetusher/sidecar/discovery/watch.py
+++ b/garnetusher/sidecar/discovery/watch.py
@@ -49,7 +49,7 @@
     def __init__(self, watcher: EndpointWatcher) -> None:
         self.state = WatchState.CONNECTING
         self._watcher = watcher
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._reader = ListReader()
         self._answered = False  # whether a list or an empty line has arrived
         self._transport: asyncio.Transport | None = None
@@ -71,7 +71,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from discovery; malformed data ends the watch."""
-        if self.state is WatchState.CLOSED:
+        if self.state is WatchState.CLOSED or self._parser is None:
             return
         if self.state is not WatchState.STREAMING:
             self.state = WatchState.STREAMING
@@ -84,7 +84,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Process a part of the response body."""
-        if self._parser.get_status_code() != http.HTTPStatus.OK:
+        if not self._is_status_ok():
             return
         self._watcher.note_activity()
         for line in self._reader.split_lines(data):
@@ -93,12 +93,15 @@
 
     def on_message_complete(self) -> None:
         """Fail the watch: discovery never completes the response of a healthy watch."""
-        is_ok = self._parser.get_status_code() == http.HTTPStatus.OK
-        self.fail(WatchTransition.RESPONSE_ENDED if is_ok else WatchTransition.ERROR_RESPONSE)
+        self.fail(WatchTransition.RESPONSE_ENDED if self._is_status_ok() else WatchTransition.ERROR_RESPONSE)
+
+    def _is_status_ok(self) -> bool:
+        return self._parser is not None and self._parser.get_status_code() == http.HTTPStatus.OK
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the watch, as its connection is closed."""
         self.fail(WatchTransition.CONNECTION_LOST)
+        self._release()
 
     def fail(self, cause: WatchTransition, *, reconnect: bool = False) -> None:
         """End the watch; with `reconnect` the watcher opens another one even if it does not watch permanently."""
@@ -113,6 +116,13 @@
     def _abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
+        else:
+            self._release()
+
+    def _release(self) -> None:
+        """Discard the received part of a list, and the parser, which refers to this object."""
+        self._parser = None
+        self._reader = ListReader()
 
     def _process_line(self, line: bytes) -> None:
         received = self._reader.add_line(line)
--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -73,6 +73,7 @@
         self._request_id = 0  # the dispatcher's identifier of the current request
         self._close_reason: ClientCloseReason | None = None  # set once it closes after the current response
         self._is_close_recorded = False
+        self._linger_timer: asyncio.TimerHandle | None = None  # for the next check of a lingering close
         self._client_half_closed = False  # the client has closed its sending side
 
     @property
@@ -104,6 +105,10 @@
         self._record_close(ClientCloseReason.CLIENT_CLOSED if exc is None else ClientCloseReason.RESET)
         self.server.connections.pop(self, None)
         self._drop_request()
+        self.reader.release()
+        self.writer.reset()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
 
     def eof_received(self) -> bool:
         """Handle the end of the client's input and return whether the connection stays open.
@@ -396,6 +401,7 @@
         """
         self._record_close(reason)
         self.state = ConnectionState.CLOSING
+        self.reader.release()  # the close may take seconds
         if self._client_half_closed:  # no further input can arrive, and an immediate close frees the descriptor
             self.transport.close()
             return
@@ -414,7 +420,9 @@
         now_us = monotonic_us()
         still_sends = self.idle_since_us + LINGER_CHECK_INTERVAL_S * 1e6 > now_us and deadline_us > now_us
         if self.writer.unsent_size or still_sends:
-            asyncio.get_running_loop().call_later(LINGER_CHECK_INTERVAL_S, self._continue_lingering_close, deadline_us)
+            self._linger_timer = asyncio.get_running_loop().call_later(
+                LINGER_CHECK_INTERVAL_S, self._continue_lingering_close, deadline_us
+            )
         else:
             self.transport.abort()
 
--- a/garnetusher/sidecar/downstream/request_reader.py
+++ b/garnetusher/sidecar/downstream/request_reader.py
@@ -30,6 +30,7 @@
     HEAD = "head"
     BODY = "body"
     COMPLETE = "complete"
+    RELEASED = "released"  # the connection reads no further request, and remaining input is ignored
 
 
 class RequestReader:
@@ -53,8 +54,8 @@
         Args:
             on_head_complete: Called once per request, after its head and before its body; may raise `RequestRejected`.
         """
-        self._on_head_complete = on_head_complete
-        self._parser = httptools.HttpRequestParser(self)
+        self._on_head_complete: Callable[[], None] | None = on_head_complete
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.deadline_us = 0
         self.has_extra_bytes = False
         self.reset()
@@ -78,11 +79,26 @@
         self._head_size = 0  # number of bytes in header names and values
         self._body_size = 0  # number of body bytes that have been read
 
+    def release(self) -> None:
+        """Discard the request, the parser and the callback, as the connection reads no further request.
+
+        The parser and the callback refer back to the reader and its connection. Without this method only the garbage
+        collector would free them, together with the body, and it runs by the number of objects and not by their size.
+        """
+        self.reset()
+        self.state = ReadState.RELEASED
+        self._parser = None
+        self._on_head_complete = None
+
     @property
     def complete(self) -> bool:
         """Whether the whole request has been read."""
         return self.state is ReadState.COMPLETE
 
+    @property
+    def _is_reading(self) -> bool:
+        return self.state in (ReadState.HEAD, ReadState.BODY)
+
     @property
     def is_readiness_check(self) -> bool:
         """Whether the request asks whether this sidecar itself is ready."""
@@ -171,15 +187,17 @@
         self._check_size()
 
     def _parse(self, data: bytes) -> None:
+        if self._parser is None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             self._parse_after_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise cause if isinstance(cause, RequestRejected) else error from None
+            # A local variable for the cause would be part of its own traceback, and keep `data` until a collection.
+            raise _cause_of(error) from None
         except httptools.HttpParserError:
-            if not self.complete:
+            if self._is_reading:
                 raise RequestRejected(400, "malformed request") from None
             self.has_extra_bytes = True
 
@@ -190,7 +208,7 @@
         body. It gets a head with the same framing and without the offer.
         """
         self._parser = httptools.HttpRequestParser(self)
-        if not self.complete:
+        if self._is_reading:
             framing = (
                 b"Transfer-Encoding: chunked" if self._chunked else b"Content-Length: %d" % (self._content_length or 0)
             )
@@ -206,7 +224,7 @@
         if self.state is ReadState.HEAD and self._received_size > MAX_HEAD_SIZE + MAX_FRAMING_PER_BODY_BYTE:
             raise RequestRejected(413, "the head is too long")
         max_framing_size = MAX_FRAMING_SIZE + MAX_FRAMING_PER_BODY_BYTE * self._body_size
-        if not self.complete and self._received_size > MAX_HEAD_SIZE + max_framing_size:
+        if self._is_reading and self._received_size > MAX_HEAD_SIZE + max_framing_size:
             raise RequestRejected(413, "the body's framing is too long")
 
     def _expectation(self) -> bytes:
@@ -226,7 +244,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, or check the size of a trailer field."""
-        if self.complete:
+        if not self._is_reading:
             return
         self._head_size += len(name) + len(value)
         if self._head_size > MAX_HEAD_SIZE:
@@ -245,7 +263,7 @@
 
     def on_headers_complete(self) -> None:
         """Report the complete head to the connection."""
-        if self.state is not ReadState.HEAD:
+        if self.state is not ReadState.HEAD or self._parser is None or self._on_head_complete is None:
             return
         self.state = ReadState.BODY
         self._method = self._parser.get_method()
@@ -257,7 +275,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer or stream a part of the body, and extend the deadline in proportion to its size."""
-        if self.complete:
+        if not self._is_reading:
             return
         self._body_size += len(data)
         if self._body_size > MAX_BODY_SIZE:
@@ -272,6 +290,13 @@
 
     def on_message_complete(self) -> None:
         """Record that the request is complete."""
+        if self._parser is None:
+            return
         if self._parser.should_upgrade() and self._has_body:
             return  # `_parse_after_upgrade` reads the body
         self.state = ReadState.COMPLETE
+
+
+def _cause_of(error: httptools.HttpParserCallbackError) -> BaseException:
+    """Return the rejection that a callback of the parser raised, or the parser's error itself."""
+    return error.__context__ if isinstance(error.__context__, RequestRejected) else error
--- a/garnetusher/sidecar/requests/attempts.py
+++ b/garnetusher/sidecar/requests/attempts.py
@@ -87,7 +87,9 @@
             lambda head, source: self._listener.on_response_started(request, attempt_index, head, source),
         )
         if action.latest_start_us:
-            self._deadlines.call_at(action.latest_start_us, self.withdraw, request, attempt_index)
+            attempt.latest_start_timer = self._deadlines.call_at(
+                action.latest_start_us, self.withdraw, request, attempt_index
+            )
 
     def withdraw(self, request: PendingRequest, attempt_index: int) -> None:
         """End an attempt that still waits for a connection; do nothing if any byte of it has been written."""
@@ -145,7 +147,7 @@
         self._write_gate.trace.record_event(
             EventName.ENDED, request.request_id, attempt_index, attempt.endpoint_id, result.outcome.value
         )
-        self._deadlines.cancel_attempt_timer(attempt)
+        self._deadlines.cancel_attempt_timers(attempt)
         self._listener.on_attempt_ended(request, attempt_index, result)
 
     def _authorize_write(self, request: PendingRequest, attempt_index: int) -> WritePermit | Denial:
--- a/garnetusher/sidecar/requests/deadlines.py
+++ b/garnetusher/sidecar/requests/deadlines.py
@@ -74,3 +74,10 @@
         """Cancel the timeout timer of an attempt."""
         if attempt.timeout_timer is not None:
             attempt.timeout_timer.cancel()
+
+    @classmethod
+    def cancel_attempt_timers(cls, attempt: Attempt) -> None:
+        """Cancel all timers of an attempt that has ended; a timer holds the request, with its body, until it fires."""
+        cls.cancel_attempt_timer(attempt)
+        if attempt.latest_start_timer is not None:
+            attempt.latest_start_timer.cancel()
--- a/garnetusher/sidecar/requests/messages.py
+++ b/garnetusher/sidecar/requests/messages.py
@@ -204,6 +204,7 @@
         chosen_endpoint: the endpoint as it was listed at the start of the attempt; None = it was no longer ready.
         handle: the handle from the upstream side while the attempt is in flight; else None.
         timeout_timer: the timer that ends the attempt at its timeout.
+        latest_start_timer: the timer that withdraws an unwritten attempt at `latest_start_us`.
         timeout_us: the timeout that the policy set; 0 = the deadline of the request applies.
         latest_start_us: the time from which the attempt may no longer be written; 0 = no such limit.
         outcome: the outcome of the attempt; None = the attempt is in flight.
@@ -215,6 +216,7 @@
     chosen_endpoint: ReadyEndpoint | None
     handle: AttemptHandle | None = None
     timeout_timer: asyncio.TimerHandle | None = None
+    latest_start_timer: asyncio.TimerHandle | None = None
     timeout_us: int = 0
     latest_start_us: int = 0
     outcome: Outcome | None = None
--- a/garnetusher/sidecar/sockets.py
+++ b/garnetusher/sidecar/sockets.py
@@ -13,7 +13,7 @@
 import struct
 import termios
 import time
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from _typeshed import ReadableBuffer, WriteableBuffer
@@ -50,11 +50,13 @@
     return error.errno in LOCAL_ERRORS
 
 
-def _raise_as_blocking(error: OSError) -> NoReturn:
-    """Raise a shortage as BlockingIOError, so that the event loop tries again; raise any other error unchanged."""
-    if error.errno in SHORTAGES:
-        raise BlockingIOError(errno.EAGAIN, SHORTAGE_TEXT) from None
-    raise error
+def _shortage_error() -> BlockingIOError:
+    """Return the error that makes the event loop try again.
+
+    Callers raise any other error with a bare `raise`. A function that raised it as its argument would be part of the
+    traceback and refer to the error, so only the garbage collector would free both and the bytes to send.
+    """
+    return BlockingIOError(errno.EAGAIN, SHORTAGE_TEXT)
 
 
 class FailureStreak:
@@ -139,9 +141,10 @@
         try:
             return super().send(data, flags)
         except OSError as error:
-            if error.errno in SHORTAGES:
-                self.write_shortages.record_failure()
-            _raise_as_blocking(error)
+            if error.errno not in SHORTAGES:
+                raise
+            self.write_shortages.record_failure()
+            raise _shortage_error() from None
 
     def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
         """Read as `socket.recv_into` does; a shortage raises BlockingIOError."""
@@ -149,7 +152,9 @@
             return super().recv_into(buffer, nbytes, flags)
         except OSError as error:
             self.read_failures.record_failure()
-            _raise_as_blocking(error)
+            if error.errno not in SHORTAGES:
+                raise
+            raise _shortage_error() from None
 
     def peer_has_ended(self) -> bool:
         """Return whether the peer has closed the connection or its sending side; the event loop may not know yet."""
--- a/garnetusher/sidecar/upstream/connection.py
+++ b/garnetusher/sidecar/upstream/connection.py
@@ -148,6 +148,7 @@
         if self.attempt is not None:
             never_ran = self.request_writer.request_incomplete and self.response_reader.sink is None
             self.finish(Outcome.CONNECT_FAILED if never_ran else Outcome.RESET)
+        self.response_reader.release()  # an abandoned attempt has not finished its response
 
     # Requests
 
