Acknowledge each upstream response before its connection is reused

Cause: the pool expected a second response within 10 ms. The kernel of an upstream without TCP_NODELAY holds it back until the first is acknowledged, and that went out with the next request.

The sidecar now sends the acknowledgement at once (TCP_QUICKACK), waits for its longest delay where that fails, prefers connections that have been silent for 50 ms, and refuses a response that arrives before the upstream's kernel has acknowledged the request. Tests that put a plain socket in place of the sidecar's use the sidecar's class on a TCP pair, as a Unix socket acknowledges nothing.

--- a/garnetusher/sidecar/sockets.py
+++ b/garnetusher/sidecar/sockets.py
@@ -185,6 +185,18 @@
             return 0
         return size[0]
 
+    def acknowledge_now(self) -> bool:
+        """Make this machine acknowledge all received bytes at once; return whether that was possible.
+
+        The kernel otherwise delays the acknowledgement by up to 200 ms or until this side sends. The kernel of a peer
+        without TCP_NODELAY holds small writes back until then (RFC 896).
+        """
+        try:
+            super().setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+        except OSError:
+            return False
+        return True
+
     def reset_at_close(self) -> None:
         """Make a later close reset the connection, so that the peer does not see an orderly close."""
         with contextlib.suppress(OSError):
--- a/garnetusher/sidecar/transitions.py
+++ b/garnetusher/sidecar/transitions.py
@@ -73,6 +73,7 @@
     UPSTREAM_CLOSED = "upstream closed"
     RESET = "reset"  # a read or a write failed
     UNREQUESTED_DATA = "unrequested data"
+    RESPONSE_BEFORE_REQUEST = "response before the request"  # it arrived before the upstream had received the request
     RESPONSE_REQUIRES_CLOSE = "response requires close"
     RESPONSE_BEFORE_REQUEST_END = "response before the end of the request"
     MALFORMED_RESPONSE = "malformed response"
--- a/garnetusher/sidecar/upstream/connecting.py
+++ b/garnetusher/sidecar/upstream/connecting.py
@@ -29,7 +29,7 @@
         self,
         connect_timeout_us: int,
         trace: Trace,
-        make_connection: Callable[[Address, socket.socket], UpstreamConnection],
+        make_connection: Callable[[Address, ShortageTolerantSocket], UpstreamConnection],
     ) -> None:
         self.connect_timeout_us = connect_timeout_us
         self._loop = asyncio.get_running_loop()
--- a/garnetusher/sidecar/upstream/connection.py
+++ b/garnetusher/sidecar/upstream/connection.py
@@ -29,6 +29,8 @@
 # The rest of a head may wait for this time, in seconds, while this machine is short of memory or buffers. After that,
 # its X-Deadline-Ms header would be wrong by about the 0.15 s that upstreams tolerate.
 MAX_HEAD_DELAY_S = 0.1
+UNREQUESTED_DATA_COUNTER = "unrequested data from upstreams"
+RESPONSE_BEFORE_REQUEST_COUNTER = "responses from upstreams before the request"
 
 
 class NotConnectedError(GarnetusherError):
@@ -62,7 +64,7 @@
         last_read_us: when bytes of the response last arrived, or reading was last resumed.
     """
 
-    def __init__(self, pool: ConnectionPool, address: Address, sock: socket.socket) -> None:
+    def __init__(self, pool: ConnectionPool, address: Address, sock: ShortageTolerantSocket) -> None:
         self.address = address
         self.endpoint_id = pool.endpoint_id_at(address)
         self.sock = sock
@@ -119,6 +121,9 @@
             self.close(UpstreamCloseReason.UNREQUESTED_DATA)
             return
         response = self.response_reader
+        if not response.received and self._precedes_request():
+            self.abort_response(UpstreamCloseReason.RESPONSE_BEFORE_REQUEST)
+            return
         response.received += len(data)
         self.last_read_us = monotonic_us()
         was_in_body = response.in_body
@@ -130,6 +135,14 @@
         elif not was_in_body and response.is_buffering_body_of_unknown_length:
             self._pool.loop.call_later(MAX_BUFFERING_S, self._on_buffering_timeout, self.attempt)
 
+    def _precedes_request(self) -> bool:
+        """Return whether received bytes belong to an earlier request, as the upstream has not received the current one.
+
+        The upstream's kernel acknowledges a request with or before the first bytes of its response. An upstream may
+        respond to a long request before it has all of it, so nothing is known in that case.
+        """
+        return not self.request_writer.request_incomplete and self.sock.unacknowledged_size() > 0
+
     def eof_received(self) -> None:
         """Complete a response whose body ends where the connection ends."""
         self.closed = True
@@ -206,7 +219,7 @@
         """End an attempt whose head this machine still can't send; the upstream never runs the incomplete request."""
         if self.attempt is not attempt or self.request_writer.head_sent:
             return
-        if isinstance(self.sock, ShortageTolerantSocket) and self.sock.write_shortages.first_failure_us():
+        if self.sock.write_shortages.first_failure_us():
             self._abort_unsent(attempt)
 
     def _abort_unsent(self, attempt: UpstreamAttempt) -> None:
@@ -271,6 +284,8 @@
         if self.closed or unusable_reason is not None or self.request_writer.request_incomplete:
             # The upstream would take the rest of an incomplete request for the next request.
             self.close(unusable_reason or UpstreamCloseReason.RESPONSE_BEFORE_REQUEST_END)
+        else:
+            self.idle_timing.response_acknowledged = self.sock.acknowledge_now()
         self.finish(self.response_reader.outcome())
 
     def finish(self, outcome: Outcome) -> None:
@@ -304,6 +319,10 @@
         if not self._is_close_recorded:
             self._is_close_recorded = True
             self._pool.trace.record_state(EventName.UPSTREAM_CLOSE, reason, self.endpoint_id)
+            if reason is UpstreamCloseReason.UNREQUESTED_DATA:
+                self._pool.trace.count(UNREQUESTED_DATA_COUNTER)
+            elif reason is UpstreamCloseReason.RESPONSE_BEFORE_REQUEST:
+                self._pool.trace.count(RESPONSE_BEFORE_REQUEST_COUNTER)
 
     def close(self, reason: UpstreamCloseReason) -> None:
         """Close the connection, and notify the upstream immediately.
--- a/garnetusher/sidecar/upstream/idle_reuse.py
+++ b/garnetusher/sidecar/upstream/idle_reuse.py
@@ -9,9 +9,14 @@
 IDLE_TIMEOUT_MARGIN_US = 300_000
 # Losses never lower the limit below this time, because a connection in steady use is idle for less than this.
 MIN_IDLE_LIMIT_US = 25_000
-# If a faulty upstream sends a second response, it arrives 1 to 4 ms after the first one. The constant must be less than
-# MIN_IDLE_LIMIT_US.
+# A faulty upstream may send a second response some milliseconds after the first. A connection is reused only after it
+# has been silent for this time since the sidecar has acknowledged the first response. Less than MIN_IDLE_LIMIT_US.
 RESPONSE_GRACE_US = 10_000
+# The same time if the acknowledgement is delayed, which Linux does for at most 200 ms: the upstream's kernel may hold a
+# second response back until the acknowledgement.
+UNACKNOWLEDGED_GRACE_US = 200_000 + RESPONSE_GRACE_US
+# A connection that has been silent for this long is preferred to one that is just past its grace period.
+PREFERRED_SILENCE_US = 5 * RESPONSE_GRACE_US
 MAX_LOSS_SHARE = 0.25  # well above the share of requests that a bad network loses regardless of idle times
 # The weight of one reuse in the moving average: five losses in a row raise the average from 0 above MAX_LOSS_SHARE.
 LOSS_WEIGHT = 1 / 16
@@ -29,10 +34,12 @@
         since_us: the time at which the connection last became idle; 0 if it never did.
         before_attempt_us: how long the connection was idle before its current or latest attempt, or FIRST_ATTEMPT or
             NEVER_USED.
+        response_acknowledged: whether the latest response was acknowledged at once.
     """
 
     since_us: int = 0
     before_attempt_us: int = NEVER_USED
+    response_acknowledged: bool = True
 
     def start_attempt(self, now_us: int) -> None:
         """Record that an attempt starts on the connection."""
@@ -42,7 +49,8 @@
         """Return for how long a stray second response may still arrive; 0 or less means that none is expected."""
         if self.before_attempt_us == NEVER_USED:
             return 0
-        return self.since_us + RESPONSE_GRACE_US - now_us
+        grace_us = RESPONSE_GRACE_US if self.response_acknowledged else UNACKNOWLEDGED_GRACE_US
+        return self.since_us + grace_us - now_us
 
 
 class IdleReuseEstimator:
--- a/garnetusher/sidecar/upstream/pool.py
+++ b/garnetusher/sidecar/upstream/pool.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.requests.messages import AttemptResult, HttpRequest, WriteAuthorizer
 from garnetusher.sidecar.requests.trace import NO_ENDPOINT, Trace
-from garnetusher.sidecar.sockets import RETRY_INTERVAL_S
+from garnetusher.sidecar.sockets import RETRY_INTERVAL_S, ShortageTolerantSocket
 from garnetusher.sidecar.streaming import STALL_TIMEOUT_US, Head, Sink, Source
 from garnetusher.sidecar.transitions import UpstreamCloseReason
 from garnetusher.sidecar.upstream.attempt import UpstreamAttempt
 from garnetusher.sidecar.upstream.connecting import Connector
 from garnetusher.sidecar.upstream.connection import UpstreamConnection
-from garnetusher.sidecar.upstream.idle_reuse import IdleReuseEstimator
+from garnetusher.sidecar.upstream.idle_reuse import PREFERRED_SILENCE_US, IdleReuseEstimator
 from garnetusher.sidecar.upstream.request_writer import Address
 
 SWEEP_INTERVAL_S = 0.1  # must be well below IDLE_TIMEOUT_MARGIN_US, or the upstream could close a connection first
@@ -73,35 +72,38 @@
         """
         attempt = UpstreamAttempt(self.loop, address, http_request, authorize_write, on_ended, on_response_started)
         now_us = monotonic_us()
-        oldest_us = now_us - self.idle_reuse.limit_us()
-        connections_in_grace = []
-        for connection in reversed(self.idle.get(address, [])[:]):
-            if connection.idle_timing.grace_remaining_us(now_us) > 0:
-                connections_in_grace.append(connection)
-            elif connection.idle_timing.since_us <= oldest_us:
-                connection.close(self._idle_close_reason(connection, now_us))
-            elif (obstacle := connection.reuse_obstacle()) is not None:
-                connection.close(obstacle)
-            else:
-                self.remove_idle(connection)
-                self._send_or_add_idle(connection, attempt)
-                return attempt
-        if connections_in_grace:
-            self._wait_for_grace(connections_in_grace[-1], attempt, now_us)
-        else:
+        connections = self.idle.get(address, [])[:]
+        connection = self._find_reusable(connections, now_us) or _next_after_grace(connections, now_us)
+        if connection is None:
             self.open_connection(attempt)
+            return attempt
+        self.remove_idle(connection)
+        grace_remaining_us = connection.idle_timing.grace_remaining_us(now_us)
+        if grace_remaining_us > 0:
+            self.loop.call_later(grace_remaining_us / 1e6, self.send_after_grace, connection, attempt)
+        else:
+            self._send_or_add_idle(connection, attempt)
         return attempt
 
-    def _wait_for_grace(self, connection: UpstreamConnection, attempt: UpstreamAttempt, now_us: int) -> None:
-        """Reserve a connection that has just received a response, and write the attempt when its grace period is over.
+    def _find_reusable(self, connections: list[UpstreamConnection], now_us: int) -> UpstreamConnection | None:
+        """Return a connection that can be reused now, and close those that are found to be unusable.
 
-        A stray second response may arrive a few milliseconds after the first. On a connection that is reused at once,
-        the sidecar would take it for the response to the new request. Waiting for the rest of the grace period is
-        cheaper than opening another connection.
+        Among the connections that have been silent for long enough, the one that was used last is preferred, so that
+        the others reach their idle timeout. Otherwise the one that has been silent for the longest time is preferred.
         """
-        self.remove_idle(connection)
-        delay_s = connection.idle_timing.grace_remaining_us(now_us) / 1e6
-        self.loop.call_later(delay_s, self.send_after_grace, connection, attempt)
+        past_grace = [each for each in connections if each.idle_timing.grace_remaining_us(now_us) <= 0]
+        preferred_since_us = now_us - PREFERRED_SILENCE_US
+        preferred = [each for each in reversed(past_grace) if each.idle_timing.since_us <= preferred_since_us]
+        others = [each for each in past_grace if each.idle_timing.since_us > preferred_since_us]
+        oldest_us = now_us - self.idle_reuse.limit_us()
+        for connection in (*preferred, *others):
+            if connection.idle_timing.since_us <= oldest_us:
+                connection.close(self._idle_close_reason(connection, now_us))
+            elif (obstacle := connection.reuse_obstacle()) is not None:
+                connection.close(obstacle)
+            else:
+                return connection
+        return None
 
     def send_after_grace(self, connection: UpstreamConnection, attempt: UpstreamAttempt) -> None:
         """Write an attempt on its reserved connection, unless it was abandoned or the connection is unusable."""
@@ -136,7 +138,7 @@
         """Open a new connection for an attempt."""
         self._connector.start(attempt)
 
-    def _make_connection(self, address: Address, sock: socket.socket) -> UpstreamConnection:
+    def _make_connection(self, address: Address, sock: ShortageTolerantSocket) -> UpstreamConnection:
         return UpstreamConnection(self, address, sock)
 
     # Idle connections
@@ -184,3 +186,15 @@
         stalled = [each for each in self.streaming if not each.reading_paused and each.last_read_us <= no_data_since_us]
         for connection in stalled:
             connection.abort_response(UpstreamCloseReason.RESPONSE_STALLED)
+
+
+def _next_after_grace(connections: list[UpstreamConnection], now_us: int) -> UpstreamConnection | None:
+    """Return the connection whose grace period ends next, or None if opening another connection is faster.
+
+    A stray second response may arrive a few milliseconds after the first. On a connection that is reused at once, the
+    sidecar would take it for the response to the new request. Waiting for the rest of the grace period is cheaper than
+    opening another connection.
+    """
+    acknowledged = [each for each in connections if each.idle_timing.response_acknowledged]
+    in_grace = [each for each in acknowledged if each.idle_timing.grace_remaining_us(now_us) > 0]
+    return min(in_grace, key=lambda each: each.idle_timing.since_us, default=None)
--- a/tests/net.py
+++ b/tests/net.py
@@ -15,6 +15,7 @@
 from garnetusher.sidecar.configuration import Configuration
 from garnetusher.sidecar.requests.messages import AttemptResult, HttpRequest, WritePermit
 from garnetusher.sidecar.service import serve
+from garnetusher.sidecar.sockets import ShortageTolerantSocket
 from garnetusher.sidecar.upstream.attempt import UpstreamAttempt
 from garnetusher.sidecar.upstream.pool import ConnectionPool
 from garnetusher.sidecar.upstream.request_writer import Address
@@ -195,6 +196,15 @@
     return UpstreamAttempt(pool.loop, address, http_request, permit_write, on_ended, lambda head, source: None)
 
 
+def socket_pair() -> tuple[ShortageTolerantSocket, socket.socket]:
+    """Return the sidecar's end and the peer's end of a TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        sidecar_end = ShortageTolerantSocket()
+        sidecar_end.connect(listener.getsockname())
+        peer_end, _ = listener.accept()
+        return sidecar_end, peer_end
+
+
 def free_ports(count: int) -> list[int]:
     """Return different free ports; all are reserved together, because the kernel may reuse a released port at once."""
     with contextlib.ExitStack() as stack:
--- a/tests/test_interleaving_retries.py
+++ b/tests/test_interleaving_retries.py
@@ -13,6 +13,7 @@
 from garnetusher.policy.settings import RequestClass
 from garnetusher.sidecar.discovery.endpoint_list import EndpointList
 from garnetusher.sidecar.discovery.messages import parse_entries, parse_list
+from garnetusher.sidecar.sockets import ShortageTolerantSocket
 from garnetusher.sidecar.upstream import idle_reuse
 from garnetusher.sidecar.upstream.connection import UpstreamConnection
 from garnetusher.sidecar.upstream.pool import ConnectionPool
@@ -28,6 +29,7 @@
     request,
     respond_with,
     sidecar,
+    socket_pair,
     until,
 )
 from tests.policy_host import PolicyHost, settings, upstreams
@@ -231,7 +233,7 @@
         pool, address = ConnectionPool(60_000_000, 1_000_000), ("127.0.0.1", 1)
         pool.sweep_timer.cancel()
         for abandoned in (True, False):
-            sidecar_end, upstream_end = socket.socketpair()
+            sidecar_end, upstream_end = socket_pair()
             with sidecar_end, upstream_end:
                 sidecar_end.setblocking(False)
                 connection, transport = UpstreamConnection(pool, address, sidecar_end), FakeTransport()
@@ -252,7 +254,7 @@
     async def test() -> None:
         pool, address = ConnectionPool(60_000_000, 1_000_000), ("127.0.0.1", 1)
         pool.sweep_timer.cancel()
-        sidecar_end, upstream_end = socket.socketpair()
+        sidecar_end, upstream_end = socket_pair()
         with sidecar_end, upstream_end:
             sidecar_end.setblocking(False)
             connection = UpstreamConnection(pool, address, sidecar_end)
@@ -295,7 +297,7 @@
     async def test() -> None:
         pool, address = ConnectionPool(60_000_000, 1_000_000), ("127.0.0.1", 1)
         pool.sweep_timer.cancel()
-        with socket.socket() as sock:
+        with ShortageTolerantSocket() as sock:
             results: list[object] = []
             attempt = attempt_at(pool, address, results.append)
             connection, transport = UpstreamConnection(pool, address, sock), FakeTransport()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -23,6 +23,7 @@
 from garnetusher.sidecar.requests.dispatcher import RequestDispatcher
 from garnetusher.sidecar.requests.messages import Denial, Disposition
 from garnetusher.sidecar.requests.trace import STATE_TRACE_CAPACITY, TRACE_CAPACITY, EventName, Trace
+from garnetusher.sidecar.sockets import ShortageTolerantSocket
 from garnetusher.sidecar.streaming import STALL_TIMEOUT_US
 from garnetusher.sidecar.upstream import pool as pool_module
 from garnetusher.sidecar.upstream.connection import UpstreamConnection
@@ -287,7 +288,7 @@
         dispatcher = RequestDispatcher(Settings(net.classes()), 1, pool, pool.trace)
         dispatcher.on_endpoints_updated(EndpointsUpdated(UpdateKind.SNAPSHOT, [Endpoint(7)]), {7: address})
         pool.endpoint_id_at = dispatcher.endpoint_id_at
-        with socket.socket() as sock:
+        with ShortageTolerantSocket() as sock:
             unused, unsent, unwanted = (UpstreamConnection(pool, address, sock) for _ in range(3))
             pool.idle[address] = [unused]
             dispatcher._execute(CloseIdleConnections(7))
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -23,7 +23,18 @@
 from garnetusher.sidecar.upstream.connection import UpstreamConnection
 from garnetusher.sidecar.upstream.idle_reuse import FIRST_ATTEMPT, NEVER_USED, RESPONSE_GRACE_US, IdleReuseEstimator
 from garnetusher.sidecar.upstream.pool import ConnectionPool
-from tests.net import OK, TEST_TIMEOUT_S, Upstream, attempt_at, permit_write, request, respond_with, sidecar, until
+from tests.net import (
+    OK,
+    TEST_TIMEOUT_S,
+    Upstream,
+    attempt_at,
+    permit_write,
+    request,
+    respond_with,
+    sidecar,
+    socket_pair,
+    until,
+)
 from tests.runner import run
 from tests.test_interleaving_stop import full_backlog_port
 
@@ -78,7 +89,7 @@
     async def test() -> None:
         pool, address = ConnectionPool(60_000_000, 10_000_000), ("127.0.0.1", 1)
         pool.sweep_timer.cancel()
-        with socket.socket() as sock:
+        with ShortageTolerantSocket() as sock:
             connection = UpstreamConnection(pool, address, sock)
             connection.idle_timing.since_us = monotonic_us() - 60_000
             pool.idle[address] = [connection]
@@ -126,7 +137,7 @@
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             listener.bind(("127.0.0.1", 0))
             listener.listen()
-            sock, peer = socket.socket(), None
+            sock, peer = ShortageTolerantSocket(), None
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             sock.connect(listener.getsockname())
             sock.setblocking(False)
@@ -192,7 +203,7 @@
         runner.run(run_with_timeout())
 
 
-async def idle_connection(pool: ConnectionPool, sock: socket.socket) -> UpstreamConnection:
+async def idle_connection(pool: ConnectionPool, sock: ShortageTolerantSocket) -> UpstreamConnection:
     """Return a connection that has just become idle in the pool."""
     sock.setblocking(False)
     connection = UpstreamConnection(pool, ("127.0.0.1", 1), sock)
@@ -206,7 +217,7 @@
     async def test() -> None:
         pool, results = ConnectionPool(60_000_000, 1_000_000), list[AttemptResult]()
         pool.sweep_timer.cancel()
-        sidecar_end, upstream_end = socket.socketpair()
+        sidecar_end, upstream_end = socket_pair()
         with sidecar_end, upstream_end:
             connection = await idle_connection(pool, sidecar_end)
             http_request = HttpRequest(b"POST", b"/pay", [], b"x" * 10_000_000, 0, 0, 1)  # more than the kernel takes
@@ -230,7 +241,7 @@
     async def test() -> None:
         pool = ConnectionPool(60_000_000, 1_000_000)
         pool.sweep_timer.cancel()
-        sidecar_end, upstream_end = socket.socketpair()
+        sidecar_end, upstream_end = socket_pair()
         with sidecar_end, upstream_end:
             connection = await idle_connection(pool, sidecar_end)
             http_request = HttpRequest(b"POST", b"/pay", [], b"x" * 10_000_000, 0, 0, 1)  # more than the kernel takes
@@ -290,7 +301,7 @@
         def start_response(head: Head, source: Source) -> PausingSink:
             return PausingSink(selector, source, length)
 
-        sidecar_end, upstream_end = socket.socketpair()
+        sidecar_end, upstream_end = socket_pair()
         with sidecar_end, upstream_end:
             connection = await idle_connection(pool, sidecar_end)
             http_request = HttpRequest(b"POST", b"/pay", [], b"", 0, 0, 1)
