Answer a long body within the time since its end may have been written

The sidecar took the end for unwritten unless its own kernel held all of a stated length. The time now counts from when the end may have been written: since reading last kept up with the client.

--- a/garnetusher/sidecar/downstream/arrival_time.py
+++ b/garnetusher/sidecar/downstream/arrival_time.py
@@ -18,6 +18,10 @@
 # All bytes of a burst of reads are estimated to be as old as the first bytes of the burst. If the estimate for a later
 # read alone is at least this much later, the body has kept arriving after the pause, and that estimate is used instead.
 MAX_BURST_US = 500_000
+# Reading has caught up with a client if no read was full and no pause ended for this time, which is longer than the
+# interval of the checks by which `EventLoopLag` detects a pause of this process.
+CAUGHT_UP_US = 150_000
+MAX_SEND_BUFFER_SIZE = 4 * 1024 * 1024  # bytes that a client's kernel holds at most; Linux's default for TCP
 
 
 class EventLoopLag:
@@ -77,15 +81,15 @@
         self.arrived_us = 0
         self.paused_since_us = 0
         self._read_at_us = 0  # the time of the most recent read
-        self._incomplete_at_us = 0  # the last time at which the kernel held only a part of a paused body's rest
-        self._complete_since_us = 0  # the earliest time at which the kernel may have held the whole rest
+        self._backlog_since_us = 0  # the earliest arrival time of bytes that may be unread; 0 = all have been read
+        self._backlog_seen_us = 0  # the time of the latest full read or end of a pause
 
     def start_reading(self) -> int:
         """Record that the event loop starts to read the connection now, and return the current time."""
         self._reading_started_us = monotonic_us()
         return self._reading_started_us
 
-    def record_read(self, *, first_request: bool) -> None:
+    def record_read(self, *, first_request: bool, is_full: bool = False) -> None:
         """Update the arrival time for bytes that have just been read.
 
         After a pause of this process, the event loop reads all bytes that arrived during the pause in several reads
@@ -94,20 +98,27 @@
 
         Args:
             first_request: Whether the connection has not carried a valid request yet.
+            is_full: Whether the read filled the buffer, so that more bytes may be unread.
         """
         now_us = monotonic_us()
         arrived_us = self._earliest_arrival_us(first_request=first_request)
+        if arrived_us > self._backlog_seen_us + CAUGHT_UP_US:
+            self._backlog_since_us = 0
         same_burst = (
             now_us < self._read_at_us + BURST_WINDOW_US and self.arrived_us < self._read_at_us - BURST_WINDOW_US
         )
         if same_burst and arrived_us < self.arrived_us + MAX_BURST_US:
             arrived_us = min(arrived_us, self.arrived_us)
-        self.arrived_us = arrived_us
+        self.arrived_us = min(arrived_us, self._backlog_since_us or arrived_us)
         self._read_at_us = now_us
+        if is_full:
+            self._backlog_since_us = self._backlog_since_us or arrived_us
+            self._backlog_seen_us = now_us
 
     def pause(self) -> None:
         """Record that reading of the body is paused."""
         self.paused_since_us = self.paused_since_us or self._loop_earliest_arrival_us()
+        self._backlog_since_us = self._backlog_since_us or min(self.paused_since_us, self.arrived_us)
 
     def restart_pause(self, now_us: int) -> None:
         """Count the duration of the current pause from now."""
@@ -116,23 +127,36 @@
     def resume(self) -> None:
         """Record that reading of the body continues."""
         self.paused_since_us = 0
-        self._incomplete_at_us = 0
+        self._backlog_seen_us = monotonic_us()
 
-    def complete_unread_since_us(self, missing_size: int | None) -> int:
-        """Return the earliest time at which the kernel may have held the whole rest of a paused body; 0 if unknown.
+    def unread_end_since_us(self, missing_size: int | None) -> int:
+        """Return the earliest time at which the client may have written the end of a body that is not read to its end.
 
-        The client's deadline runs from that time, although the last byte has not been read. If no earlier call found
-        the rest incomplete, it may have been complete when reading paused, or as soon as the last read bytes arrived.
+        The client's deadline runs from that time. The end may wait in the kernel of this machine or of the client.
 
         Args:
             missing_size: The number of body bytes that have not been read; None if the body's length is unknown.
+
+        Returns:
+            The time; 0 if all bytes that the client may have written have been read, and the end is not among them.
         """
-        if self.paused_since_us and not self._complete_since_us and missing_size is not None and self._sock is not None:
-            if self._sock.unread_size() >= missing_size:
-                self._complete_since_us = self._incomplete_at_us or min(self.paused_since_us, self.arrived_us)
-            else:
-                self._incomplete_at_us = monotonic_us()
-        return self._complete_since_us
+        if self._has_caught_up():
+            self._backlog_since_us = 0
+        elif self._backlog_since_us and not self._kernels_can_hold(missing_size):
+            self._backlog_since_us = monotonic_us()
+        return self._backlog_since_us
+
+    def _has_caught_up(self) -> bool:
+        """Return whether nothing is unread although reading has not been paused for some time."""
+        if self.paused_since_us or monotonic_us() <= self._backlog_seen_us + CAUGHT_UP_US:
+            return False
+        return self._sock is None or self._sock.unread_size() == 0
+
+    def _kernels_can_hold(self, size: int | None) -> bool:
+        """Return whether the rest of a body may wait in the kernels of this machine and of the client."""
+        if size is None or self._sock is None:
+            return True
+        return size <= self._sock.unread_size() + MAX_SEND_BUFFER_SIZE
 
     def _earliest_arrival_us(self, *, first_request: bool) -> int:
         arrived_us = self._loop_earliest_arrival_us()
@@ -140,4 +164,4 @@
             arrived_us = min(arrived_us, self.accepted_us)
         if self._sock is not None:
             arrived_us = min(arrived_us, self._sock.read_failures.first_failure_us() or arrived_us)
-        return min(arrived_us, self._complete_since_us or arrived_us)
+        return arrived_us
--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -16,7 +16,7 @@
 from garnetusher.sidecar.requests.messages import RESPONSE_MARGIN_US, Disposition, FinalResponse
 from garnetusher.sidecar.requests.trace import EventName
 from garnetusher.sidecar.sockets import ShortageTolerantSocket
-from garnetusher.sidecar.streaming import STALL_TIMEOUT_US, Head, SharedBufferProtocol, Source, Upload
+from garnetusher.sidecar.streaming import READ_BUFFER_SIZE, STALL_TIMEOUT_US, Head, SharedBufferProtocol, Source, Upload
 from garnetusher.sidecar.transitions import ClientCloseReason
 
 if TYPE_CHECKING:
@@ -148,7 +148,8 @@
             self.reader.has_extra_bytes = True  # pipelining: the connection closes after the open request's response
             return
         self.reader.start_message(renew_deadline=self.has_sent_valid_request)
-        self.arrival_times.record_read(first_request=not self.has_sent_valid_request)
+        is_full = len(data) >= READ_BUFFER_SIZE
+        self.arrival_times.record_read(first_request=not self.has_sent_valid_request, is_full=is_full)
         try:
             self._read_request(data)
         except RequestRejected as rejection:
@@ -341,13 +342,10 @@
     def earliest_body_end_us(self) -> int:
         """Return the earliest time at which the client may have sent all of a body that is not read completely.
 
-        The last bytes may still be in the client's kernel. If reading is not paused, nothing better is known than the
+        The last bytes may still be in the client's kernel. If reading is not behind, nothing better is known than the
         arrival time of the most recently read bytes, which is about the current time.
         """
-        return self._complete_unread_since_us() or self.arrival_times.arrived_us
-
-    def _complete_unread_since_us(self) -> int:
-        return self.arrival_times.complete_unread_since_us(self.reader.missing_size)
+        return self.arrival_times.unread_end_since_us(self.reader.missing_size) or self.arrival_times.arrived_us
 
     def _write_response(self, status: int, body: bytes, headers: bytes = b"") -> None:
         if self.transport.is_closing() or self.closing:
@@ -491,6 +489,8 @@
             return  # the connection is idle between two requests
         if self.arrival_times.paused_since_us:
             self._check_paused_body(now_us)
+        elif self.writer.source is None and self._must_respond_before_next_check(now_us):
+            self.shed_incomplete_request(ClientCloseReason.BODY_NOT_READ)
         elif now_us > self.reader.deadline_us and not self._has_unread_bytes():
             if self.reader.message_started_us:
                 self._reject(408, ClientCloseReason.READ_TIMEOUT)
@@ -521,10 +521,10 @@
             self.server.dispatcher.on_body_stalled(self._request_id)
 
     def _must_respond_before_next_check(self, now_us: int) -> bool:
-        """Return whether a request whose body has arrived, but is not read, needs a response before the next check."""
-        complete_since_us = self._complete_unread_since_us()
+        """Return whether the body may have been written to its end and the response is due before the next check."""
         http_request = self.reader.http_request
-        if not complete_since_us or http_request is None:
+        unread_end_since_us = self.arrival_times.unread_end_since_us(self.reader.missing_size)
+        if not unread_end_since_us or http_request is None:
             return False
-        response_due_us = complete_since_us + http_request.client_timeout_us - RESPONSE_MARGIN_US
+        response_due_us = unread_end_since_us + http_request.client_timeout_us - RESPONSE_MARGIN_US
         return now_us + int(CHECK_INTERVAL_S * 1e6) > response_due_us
