--- a/garnetusher/lab/soak/faults.py
+++ b/garnetusher/lab/soak/faults.py
@@ -12,6 +12,7 @@
 from garnetusher.lab.soak.discovery import DiscoveryAgent
 from garnetusher.lab.soak.plan import (
     DISCOVERY_FAULTS,
+    PEER_UPSTREAM_FAULTS,
     SIDECAR_FAULTS,
     UPSTREAM_FAULTS,
     Fault,
@@ -63,7 +64,7 @@
     async def apply(self, fault: Fault) -> None:
         """Inject a fault into all its targets, and return when it is over."""
         nodes = self._nodes
-        if fault.kind in UPSTREAM_FAULTS:
+        if fault.kind in UPSTREAM_FAULTS + PEER_UPSTREAM_FAULTS:
             await asyncio.gather(*(self._apply_to_upstream(fault, nodes.upstreams[n]) for n in fault.targets))
         elif fault.kind in SIDECAR_FAULTS:
             await asyncio.gather(*(self._apply_to_sidecar(fault, number) for number in fault.targets))
@@ -77,6 +78,10 @@
             await self._replace(fault, upstream)
         elif fault.kind == FaultKind.RESET:
             upstream.reset_connections(fault.value)
+        elif fault.kind == FaultKind.FREEZE:
+            upstream.freeze()
+            await asyncio.sleep(fault.duration_s)
+            upstream.thaw()
         elif fault.kind == FaultKind.SUSPENDED_ACCEPT:
             for listener in upstream.listeners.values():
                 listener.suspend()
--- a/garnetusher/lab/soak/plan.py
+++ b/garnetusher/lab/soak/plan.py
@@ -65,6 +65,10 @@
     SLOW_WRITERS = "slow_writers"  # clients write requests in pieces
     PIPELINES = "pipelines"  # clients send a second request before the first response
     LONG_BODIES = "long_bodies"
+    SECOND_RESPONSES = "second_responses"  # a second copy of a response follows it within milliseconds
+    FREEZE = "freeze"  # the upstream reads nothing, as if its process were stopped
+    CLOSING_CLIENTS = "closing_clients"  # clients send `Connection: close` with a body
+    LARGE_BODIES = "large_bodies"  # bodies of megabytes
 
 
 # The plan that is drawn for a seed depends on the order of the kinds.
@@ -99,6 +103,12 @@
     FaultKind.PIPELINES,
     FaultKind.LONG_BODIES,
 )
+# These kinds are drawn by `add_peer_faults` from a source of their own, so that `draw` keeps the plans of its seeds.
+PEER_UPSTREAM_FAULTS = (FaultKind.SECOND_RESPONSES, FaultKind.FREEZE)
+PEER_CLIENT_FAULTS = (FaultKind.CLOSING_CLIENTS, FaultKind.LARGE_BODIES)
+PEER_FAULT_S = 4.0
+PEER_FAULTS_START_S = 5.0  # peer faults begin before this time
+SECOND_RESPONSE_SHARE = 0.1
 ALL_FAULTS = SIDECAR_FAULTS + UPSTREAM_FAULTS + DISCOVERY_FAULTS + CLIENT_FAULTS
 
 # Errors that end a connection by themselves. They are drawn only for the calls that make connections, since a read
@@ -159,6 +169,7 @@
     connect_timeout_ms: int = field(name="dial_timeout_ms", default=200)
     deduplication_window_ms: int = field(name="memory_ms", default=2000)
     mode: Literal["pushed", "on_request"] = "pushed"  # whether sidecars watch the endpoint list or poll it
+    memory_mb: int = 96  # the limit on the memory of one sidecar
     broken_rules: list[str] = field(name="failed", default_factory=list)  # the rules that the saved plan broke
 
     def without_fault(self, removed: Fault) -> Plan:
@@ -230,6 +241,21 @@
     )
 
 
+def add_peer_faults(plan: Plan) -> Plan:
+    """Return the plan with one more fault of each kind in which peers misbehave over several seconds."""
+    rng = random.Random(f"{plan.seed}-peers")
+    faults = list(plan.faults)
+    for kind in PEER_UPSTREAM_FAULTS + PEER_CLIENT_FAULTS:
+        at_s = round(QUIET_START_S + rng.random() * (PEER_FAULTS_START_S - QUIET_START_S), 3)
+        if kind is FaultKind.FREEZE:
+            targets = [rng.randrange(plan.upstreams)]
+        else:
+            targets = list(range(plan.upstreams if kind in PEER_UPSTREAM_FAULTS else plan.sidecars))
+        share = SECOND_RESPONSE_SHARE if kind is FaultKind.SECOND_RESPONSES else 0.0
+        faults.append(Fault(kind, at_s, PEER_FAULT_S, targets, share))
+    return msgspec.structs.replace(plan, faults=sorted(faults, key=lambda fault: fault.at_s))
+
+
 def _draw_faults(rng: random.Random, sidecars: int, upstreams: int) -> list[Fault]:
     """Return groups of faults; each kind is drawn once before any kind is drawn again."""
     faults: list[Fault] = []
--- a/garnetusher/lab/soak/records.py
+++ b/garnetusher/lab/soak/records.py
@@ -63,6 +63,7 @@
     end: End | None = None
     ended_s: float = 0.0
     disconnected_s: float = 0.0  # the time at which the client disconnected before the response; 0 if it did not
+    foreign_body: bytes = b""  # the body of a response with status 200, if it is not the one made for this request
 
 
 @dataclass(slots=True)
@@ -78,6 +79,7 @@
     body_complete_s: float = 0.0  # 0 if the body never arrived completely
     rejected: bool = False  # the upstream responded that it did not run the request
     queued: bool = False  # the connection waited in the backlog, so the first byte has no known time
+    frozen: bool = False  # the first byte may have waited at a frozen upstream, so it has no known time either
 
 
 @dataclass(slots=True)
@@ -127,6 +129,15 @@
     closed_s: float  # the time at which the sidecar responded or closed the connection; 0 if it did neither
 
 
+@dataclass(slots=True)
+class MemorySample:
+    """The anonymous memory of a sidecar's process, which belongs to this process alone."""
+
+    sidecar: int
+    at_s: float
+    size_mb: float
+
+
 @dataclass(slots=True)
 class Lag:
     """An interval in which the recording process itself did not run."""
@@ -146,3 +157,4 @@
     malformed_connections: list[MalformedConnection] = field(default_factory=list)
     lags: list[Lag] = field(default_factory=list)
     upstream_restarts: list[UpstreamRestart] = field(default_factory=list)
+    memory_peaks: dict[int, MemorySample] = field(default_factory=dict)  # the largest sample of each sidecar
--- a/garnetusher/lab/soak/run.py
+++ b/garnetusher/lab/soak/run.py
@@ -19,13 +19,14 @@
 from garnetusher.lab.soak.faults import FaultInjector, Nodes
 from garnetusher.lab.soak.oracle import Breach, Oracle
 from garnetusher.lab.soak.plan import FaultKind, Plan, sidecar_settings
-from garnetusher.lab.soak.records import Lag, Records, now_s
+from garnetusher.lab.soak.records import Lag, MemorySample, Records, now_s
 from garnetusher.lab.soak.sidecar_process import SidecarProcess, SidecarSetup
 from garnetusher.lab.soak.upstream import SimulatedUpstream
 from garnetusher.lab.syscall_faults import Call
 
 LAG_SAMPLE_S = 0.01
 SMALLEST_LAG_S = 0.02  # a shorter lag of the recording process is not recorded
+MEMORY_SAMPLE_S = 0.1
 SETTLE_S = 1.0  # the run ends this long after the last response and the last fault
 # These kinds need the library of garnetusher/lab/syscall_faults.py, which is preloaded only into their target sidecars.
 LIBRARY_FAULTS = (FaultKind.SYSCALLS, FaultKind.WALL_CLOCK)
@@ -51,6 +52,7 @@
     faults: dict[str, int]
     overlapping_kinds: list[tuple[str, str]]
     worst_lag_s: float
+    peak_memory_mb: float  # the largest memory of any sidecar
     failed_calls: int  # the number of system calls that failed by injection
     folder: str
 
@@ -76,10 +78,11 @@
         """
         try:
             await self._open()
-            lag_task = asyncio.create_task(self._measure_lags())
+            measurements = [asyncio.create_task(self._measure_lags()), asyncio.create_task(self._measure_memory())]
             await self._apply_load_and_faults()
             await asyncio.sleep(SETTLE_S)
-            lag_task.cancel()
+            for measurement in measurements:
+                measurement.cancel()
         finally:
             await self._close()
         logs = [sidecar.log for sidecar in self.nodes.sidecars]
@@ -120,7 +123,9 @@
         agent = DiscoveryAgent(number, self._host, self.records, ports, pushed=plan.mode == "pushed")
         await agent.open()
         needs_library = any(fault.kind in LIBRARY_FAULTS and number in fault.targets for fault in plan.faults)
-        setup = SidecarSetup(number, self._host, folder, self._tree, sidecar_settings(plan), needs_library)
+        setup = SidecarSetup(
+            number, self._host, folder, self._tree, sidecar_settings(plan), needs_library, plan.memory_mb
+        )
         sidecar = SidecarProcess(setup, self.records)
         clients = ClientGroup(number, sidecar.address, plan, self.records, sidecar.save_trace)
         self.nodes.agents.append(agent)
@@ -151,6 +156,16 @@
             if lag_s > SMALLEST_LAG_S:
                 self.records.lags.append(Lag(now_s(), lag_s))
 
+    async def _measure_memory(self) -> None:
+        """Record the largest memory of each sidecar."""
+        while True:
+            for sidecar in self.nodes.sidecars:
+                sample = MemorySample(sidecar.number, now_s(), sidecar.memory_mb())
+                peak = self.records.memory_peaks.get(sidecar.number)
+                if peak is None or sample.size_mb > peak.size_mb:
+                    self.records.memory_peaks[sidecar.number] = sample
+            await asyncio.sleep(MEMORY_SAMPLE_S)
+
     async def _close(self) -> None:
         await asyncio.gather(*(sidecar.kill() for sidecar in self.nodes.sidecars))
         for upstream in self.nodes.upstreams:
@@ -191,6 +206,7 @@
         faults=dict(Counter(fault.kind.value for fault in run.plan.faults)),
         overlapping_kinds=sorted((first.value, second.value) for first, second in run.plan.overlapping_kinds()),
         worst_lag_s=round(max((lag.duration_s for lag in records.lags), default=0.0), 3),
+        peak_memory_mb=round(max((peak.size_mb for peak in records.memory_peaks.values()), default=0.0), 1),
         failed_calls=run.failed_calls(),
         folder=str(folder),
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     EndpointChange,
     EndpointStatus,
     MalformedConnection,
+    MemorySample,
     ProcessEvent,
     ProcessEventKind,
     Records,
@@ -158,6 +159,21 @@
     assert broken_rules(request_, *attempts) == expected
 
 
+def test_oracle_reports_foreign_bodies_and_memory_over_the_limit() -> None:
+    assert broken_rules(with_request(foreign_body=b"served s0-2"), ATTEMPT) == {"foreign"}
+    for size_mb, expected in ((96.0, set()), (96.1, {"memory"})):
+        records = Records(memory_peaks={0: MemorySample(0, 10.0, size_mb)})
+        assert {breach.rule.value for breach in Oracle(small_plan(), records, []).check()} == expected
+
+
+def test_peer_faults_leave_the_other_faults_of_a_seed_unchanged() -> None:
+    plan = plans.draw(5)
+    extended = plans.add_peer_faults(plan)
+    peer_kinds = set(plans.PEER_UPSTREAM_FAULTS + plans.PEER_CLIENT_FAULTS)
+    assert [fault for fault in extended.faults if fault.kind not in peer_kinds] == plan.faults
+    assert {fault.kind for fault in extended.faults} >= peer_kinds
+
+
 def test_oracle_reports_breaches_of_drains_connections_and_processes_when_recorded() -> None:
     drained = EndpointChange(0, 0, EndpointStatus.DRAINING, 8.0)
     malformed = (
@@ -248,6 +264,8 @@
 # The rule that each defect of tests/faulty/defective_sidecar.py breaks, and a plan that shows the breach.
 DEFECTS = {
     "loses_requests": ("lost", small_plan()),
+    "serves_foreign_bodies": ("foreign", small_plan()),
+    "keeps_memory": ("memory", small_plan()),
     "repeats_unsafe": ("duplicate", small_plan(ERRORS)),
     "sheds_failed_requests": ("duplicate", small_plan(ERRORS)),
     "sends_to_drained": ("drain", small_plan(Fault(FaultKind.DRAIN, 0.3, 3.0, [0, 1]), load_s=6.0, rate_per_s=20.0)),
