--- a/garnetusher/sidecar/downstream/request_reader.py
+++ b/garnetusher/sidecar/downstream/request_reader.py
@@ -207,6 +207,8 @@
         The parser ends such a request at its head (RFC 9110, section 7.8, and CONNECT), so another parser reads the
         body. It gets a head with the same framing and without the offer.
         """
+        if self.state is ReadState.RELEASED:
+            return
         self._parser = httptools.HttpRequestParser(self)
         if self._is_reading:
             framing = (
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -193,6 +193,13 @@
     writer.close()
 
 
+async def be_rejected_with_an_upgrade(running: Sidecar) -> None:
+    extra = "Connection: Upgrade\r\nUpgrade: x\r\n"
+    reader, writer = await send(running, request("pay", body=BODY, extra=extra).replace(b"/pay/", b"/unknown/"))
+    await reader.read()
+    writer.close()
+
+
 async def time_out(running: Sidecar) -> None:
     reader, writer = await send(running, PUBLISH[:-1])
     await reader.read()
@@ -258,6 +265,7 @@
         (Upstream(respond_with(OK)), ask_for_close_in_chunks),
         (Upstream(respond_with(OK)), be_rejected),
         (Upstream(respond_with(OK)), be_rejected_in_the_body),
+        (Upstream(respond_with(OK)), be_rejected_with_an_upgrade),
         (Upstream(respond_with(OK)), pipeline),
         (Upstream(respond_with(OK)), time_out),
         (Upstream(respond_with(OK)), be_evicted),
