--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -26,7 +26,7 @@
 SHORTEST_IDLE_S = 0.02
 IDLE_SPREAD_S = 0.3
 SECOND_RESPONSE_DELAY_S = (0.0005, 0.006)  # range of the time between a response and its second copy
-SECOND_RESPONSE_PIECE_GAP_S = 0.001  # between the head and the body of a second copy that is written in pieces
+SECOND_RESPONSE_PIECE_GAP_S = 0.001  # a copy in pieces has this pause before its body
 SECOND_RESPONSE_PIECES_SHARE = 0.5
 THAW_S = 0.2  # bytes that are read up to this long after the end of a freeze may have arrived during it
 
