Read endpoint lists in time that grows with their bytes, and in bounded iterations

Cause, four places: - each piece of a line was copied together with all of the line before it (`_partial_line + data`); - each line of an indented list was copied together with all lines before it (`_partial_list += line` on bytes); - each line that ends with `}` decoded all of the list so far, which writers with leading commas, one entry in a line or an object within an entry make thousands of times; - one read of 256 KiB handled all of its pieces, lines and lists in one iteration of the event loop.

Parts of a body are collected by `list.append` and joined once a read. A read takes at most 64 KiB. An iteration processes messages of up to 500 entries, each message counting 10 of them; the others wait for the next iteration and reading pauses meanwhile. Lists also wait while more than 256 steps of earlier lists are pending. A response that ends, or becomes malformed, fails its watch after the messages before that. The order of messages, their content and the limits of size are as before.

The watch's peer in tests has a module of its own, tests/watch_harness.py.

--- a/garnetusher/sidecar/discovery/watch.py
+++ b/garnetusher/sidecar/discovery/watch.py
@@ -15,11 +15,12 @@
 
 from garnetusher.policy.events import EndpointsUpdated, UpdateKind
 from garnetusher.sidecar.addresses import Address
-from garnetusher.sidecar.discovery.endpoint_list import EndpointList, EndpointUpdate, ListBatch
-from garnetusher.sidecar.discovery.list_reader import ListReader
+from garnetusher.sidecar.discovery.endpoint_list import BATCH_SIZE, EndpointList, EndpointUpdate, ListBatch
+from garnetusher.sidecar.discovery.list_reader import KeepAlive, ListReader
 from garnetusher.sidecar.discovery.messages import RawList, parse_cached_list, parse_entries
 from garnetusher.sidecar.requests.trace import EventName, Trace
 from garnetusher.sidecar.sockets import SidecarEventLoop
+from garnetusher.sidecar.streaming import SharedBufferProtocol
 from garnetusher.sidecar.transitions import WatchTransition
 
 log = logging.getLogger(__name__)
@@ -31,6 +32,10 @@
 RESPONSE_TIMEOUT_S = 2.5  # time limit for the first bytes of a response, which may be an empty line
 RECONNECT_DELAY_S = 0.25  # well below the 1 s that a drain allows; discovery answers at once and at low cost
 
+MESSAGE_COST = 10  # entries; a message takes as long as so many entries even if it has none
+# Steps on received lists that may wait before further messages wait too: the steps of a few of the longest lists.
+MAX_PENDING_STEPS = 256
+
 UpdateListener = Callable[[EndpointsUpdated, dict[int, Address]], None]
 
 
@@ -43,16 +48,25 @@
     CLOSED = "closed"  # the watch ended or was replaced; data that still arrives is ignored, as it may be outdated
 
 
-class WatchConnection(asyncio.Protocol):
-    """One watch of the endpoint list; a healthy watch never ends, so any end of a watch is a failure."""
+class WatchConnection(SharedBufferProtocol):
+    """One watch of the endpoint list; a healthy watch never ends, so any end of a watch is a failure.
+
+    An iteration of the event loop reads at most READ_BUFFER_SIZE bytes and processes a bounded number of messages.
+    While messages wait for a later iteration, further bytes wait in the kernel.
+    """
 
     def __init__(self, watcher: EndpointWatcher) -> None:
         self.state = WatchState.CONNECTING
         self._watcher = watcher
+        self._body_parts: list[bytes] = []  # parts of the response body that `_reader` does not have yet
+        # The parser calls this for each part. A read may have ten thousand parts, so each has to cost little.
+        self.on_body = self._body_parts.append
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._reader = ListReader()
+        self._end_cause: WatchTransition | None = None  # why the watch fails once all earlier messages are processed
         self._answered = False  # whether a list or an empty line has arrived
         self._transport: asyncio.Transport | None = None
+        self._is_reading_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the HTTP request, unless the watch was replaced while it was connecting."""
@@ -70,7 +84,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parse data from discovery; malformed data ends the watch."""
+        """Process data from discovery; malformed data ends the watch."""
         if self.state is WatchState.CLOSED or self._parser is None:
             return
         if self.state is not WatchState.STREAMING:
@@ -78,22 +92,30 @@
             self._watcher.record(WatchTransition.STREAMING)
         try:
             self._parser.feed_data(data)
-        except Exception as error:  # malformed data of any kind must not stop the sidecar
-            log.warning("closing the watch: cannot process data from discovery: %r", error)
-            self.fail(WatchTransition.MALFORMED)
-
-    def on_body(self, data: bytes) -> None:
-        """Process a part of the response body."""
-        if not self._is_status_ok():
-            return
-        self._watcher.note_activity()
-        for line in self._reader.split_lines(data):
-            if self.state is not WatchState.CLOSED:  # an earlier line may have replaced this watch
-                self._process_line(line)
+        except httptools.HttpParserError as error:
+            self._end_after_messages(WatchTransition.MALFORMED)
+            log.warning("closing the watch: the response of discovery is malformed: %r", error)
+        self._take_body()
+        if not self._is_reading_paused:  # otherwise the processing of earlier messages goes on by itself
+            self._process_received()
 
     def on_message_complete(self) -> None:
         """Fail the watch: discovery never completes the response of a healthy watch."""
-        self.fail(WatchTransition.RESPONSE_ENDED if self._is_status_ok() else WatchTransition.ERROR_RESPONSE)
+        cause = WatchTransition.RESPONSE_ENDED if self._is_status_ok() else WatchTransition.ERROR_RESPONSE
+        self._end_after_messages(cause)
+
+    def _end_after_messages(self, cause: WatchTransition) -> None:
+        """Fail the watch once the messages that came before are processed; the first cause counts."""
+        self._take_body()
+        if self._end_cause is None:
+            self._end_cause = cause
+
+    def _take_body(self) -> None:
+        """Pass the parts of the body to the reader; ignore those of an error response or after the response."""
+        if self._body_parts and self._end_cause is None and self._is_status_ok():
+            self._watcher.note_activity()
+            self._reader.feed(b"".join(self._body_parts))
+        self._body_parts.clear()
 
     def _is_status_ok(self) -> bool:
         return self._parser is not None and self._parser.get_status_code() == http.HTTPStatus.OK
@@ -124,16 +146,64 @@
         self._parser = None
         self._reader = ListReader()
 
-    def _process_line(self, line: bytes) -> None:
-        received = self._reader.add_line(line)
-        if received is None and line:
-            return  # a part of a list
+    def _process_received(self) -> None:
+        """Process messages in this iteration of the event loop, and leave the others to later iterations."""
+        try:
+            self._process_messages()
+        except Exception as error:  # malformed data of any kind must not stop the sidecar
+            log.warning("closing the watch: cannot process data from discovery: %r", error)
+            self.fail(WatchTransition.MALFORMED)
+            return
+        if self.state is WatchState.CLOSED:
+            return
+        if self._reader.has_complete_line:
+            self._pause_reading()
+            self._watcher.loop.call_soon(self._process_waiting)
+        elif self._end_cause is not None:
+            self.fail(self._end_cause)
+        else:
+            self._resume_reading()
+
+    def _process_waiting(self) -> None:
+        """Process messages that an earlier iteration has left."""
+        if self.state is WatchState.CLOSED:
+            return
+        self._watcher.note_activity()  # the watch is not silent while its messages wait here
+        self._process_received()
+
+    def _process_messages(self) -> None:
+        entry_count = 0
+        while entry_count < BATCH_SIZE and self.state is not WatchState.CLOSED and not self._watcher.is_congested:
+            message = self._reader.next_message()
+            if message is None:
+                return
+            entry_count += MESSAGE_COST
+            if isinstance(message, RawList):
+                entry_count += len(message.entries)
+            self._process_message(message)
+
+    def _process_message(self, message: RawList | KeepAlive) -> None:
         first_answer, self._answered = not self._answered, True
-        if received is not None:
-            self._watcher.on_list_received(received)
+        if isinstance(message, RawList):
+            self._watcher.on_list_received(message)
         else:
             self._watcher.on_no_change(first_answer=first_answer)
 
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_reading_paused:
+            self._transport.pause_reading()
+            self._is_reading_paused = True
+
+    def _resume_reading(self) -> None:
+        if self._transport is None or not self._is_reading_paused:
+            return
+        self._is_reading_paused = False
+        try:
+            self._transport.resume_reading()
+        except OSError as error:  # epoll cannot watch the socket now
+            log.warning("closing the watch: cannot read from it: %r", error)
+            self.fail(WatchTransition.CONNECTION_LOST)
+
 
 class StepKind(enum.Enum):
     """What a step does with a batch of entries."""
@@ -235,6 +305,11 @@
         if watch is not None:
             watch.close()
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether so many received lists wait to be applied that further messages have to wait in the watch."""
+        return len(self.pending_steps) > MAX_PENDING_STEPS
+
     def read_first(self, transport: asyncio.Transport) -> None:
         """Read a watch before clients and upstreams, as a drain that waited during a pause holds for their requests."""
         if isinstance(self.loop, SidecarEventLoop):
--- a/tests/test_interleaving_retries.py
+++ b/tests/test_interleaving_retries.py
@@ -35,7 +35,7 @@
 from tests.policy_host import PolicyHost, settings, upstreams
 from tests.runner import run, status
 from tests.test_interleaving_stop import full_backlog_port
-from tests.test_interleaving_watch import FakeTransport
+from tests.watch_harness import FakeTransport
 
 
 def test_attempt_waiting_for_a_connection_is_sent_to_another_upstream_when_its_upstream_drains() -> None:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -34,7 +34,7 @@
 from tests.net import OK, Sidecar, Upstream, attempt_at, entry, listing, read_message, request, sidecar, until
 from tests.runner import run
 from tests.streams import CHUNKED, LONG_BODY, FunctionUpstream, chunked, upload_request
-from tests.test_interleaving_watch import RESPONSE_HEAD, FakeTransport, WatcherHarness, chunk, lines
+from tests.watch_harness import RESPONSE_HEAD, FakeTransport, WatcherHarness, chunk, lines
 
 CLIENT, UPSTREAM = EventName.CLIENT_CLOSE, EventName.UPSTREAM_CLOSE
 HTTP_1_0 = request(extra="Connection: keep-alive\r\n").replace(b"HTTP/1.1", b"HTTP/1.0")
