Play endpoint lists of all forms in the soak, and measure them with `garnetusher lab lists`

Need: the soak's discovery wrote each list in one line and one chunk, and its lists had at most eight entries, so it could not see what the form of a list costs.

The soak's new fault `list_styles` (half of the sidecars, 4 s) ends watches, sends whole lists in drawn styles and several in a row. The fault is drawn apart from the others, whose plans stay. `garnetusher lab lists` runs 3,200 upstreams and one form after another, with half of the upstreams draining in the list.

--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -17,6 +17,7 @@
 from garnetusher.lab.run import run_experiment
 from garnetusher.lab.sidecars import LabError
 from garnetusher.lab.soak import campaign as campaigns
+from garnetusher.lab.soak import list_benchmark
 from garnetusher.lab.soak import plan as soak_plan
 from garnetusher.lab.soak import run as soak_run
 from garnetusher.lab.soak import size as soak_size
@@ -262,6 +263,32 @@
     raise typer.Exit(cli.SUCCESS if all(row.kept for row in rows) else cli.FAILURE)
 
 
+@app.command(epilog="Example: garnetusher lab lists --upstreams 3200 --out found/lists")
+def lists(
+    upstreams: Annotated[int, typer.Option(min=2, help="Number of upstreams.")] = 3200,
+    seconds: Annotated[float, typer.Option(min=8.0, help="Duration of each run.")] = 12.0,
+    memory_mb: Annotated[int, typer.Option(min=32, help="Limit on the memory of the sidecar.")] = 192,
+    match: Annotated[str, typer.Option(help="Run only the forms whose name has this text.")] = "",
+    out: Annotated[Path | None, typer.Option(help="A new folder for logs and figures.")] = None,
+    tree: TreeOption = Path("."),
+) -> None:
+    """Let an endpoint list come in each of its forms beside requests; print a Markdown table."""
+    folder = (out or Path("found") / f"lists-{time.strftime('%H%M%S')}").resolve()
+    sidecar_processes.build(tree.resolve())
+    plan = list_benchmark.plan_for_list(upstreams, seconds, memory_mb)
+    cli.say("| form | lost | longest, ms | drain known after, ms | peak memory, MB | other breaches |")
+    cli.say("| --- | ---: | ---: | ---: | ---: | ---: |")
+    rows: list[list_benchmark.FormResult] = []
+    for number, form in enumerate(form for form in list_benchmark.FORMS if match in form.name):
+        try:
+            rows.append(list_benchmark.measure(form, plan, folder / str(number), tree.resolve()))
+        except (LabError, OSError) as error:
+            cli.fail(str(error))
+        cli.say(rows[-1].line())
+    (folder / "forms.json").write_bytes(msgspec.json.format(msgspec.json.encode(rows), indent=1) + b"\n")
+    raise typer.Exit(cli.SUCCESS if all(row.held for row in rows) else cli.FAILURE)
+
+
 def _parse_seeds(seeds: str) -> range:
     first, colon, last = seeds.partition(":")
     if not first.isdecimal() or (colon and not last.isdecimal()):
--- a/garnetusher/lab/soak/discovery.py
+++ b/garnetusher/lab/soak/discovery.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import contextlib
-import json
 import socket
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
+from garnetusher.lab.soak.list_styles import PLAIN_STYLE, ListStyle, chunks
 from garnetusher.lab.soak.plan import cell_of, zone_of
 from garnetusher.lab.soak.records import EndpointChange, EndpointStatus, Records, now_s
 
@@ -23,6 +24,8 @@
 # reachable again.
 KNOWN_AFTER_SILENCE_S = 6.0
 NEVER_RELOADED_S = -1e9
+LISTS_IN_SERIES = 5
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -49,12 +52,25 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedSnapshot:
+    """The whole list of a version as it is sent in a style."""
+
+    version: int
+    style: ListStyle
+    data: bytes
+
+
 class DiscoveryAgent:
     """The discovery agent of one sidecar."""
 
     def __init__(self, sidecar: int, host: str, records: Records, ports: list[int], *, pushed: bool) -> None:
         self.port = 0
         self.sent_bytes = 0  # the size of all lists and changes sent
+        self.style = PLAIN_STYLE
+        # This event is set once the kernel has the whole list of a watch that began after the last change of the style.
+        self.whole_list_written = asyncio.Event()
+        self._snapshot = EncodedSnapshot(0, PLAIN_STYLE, b"")
         self._sidecar = sidecar
         self._host = host
         self._records = records
@@ -128,6 +144,44 @@
         """Abort all watches."""
         _abort_all(self._watches)
 
+    def change_style(self, style: ListStyle) -> None:
+        """Write all lists in a style from now on, and end the watches; the next ones begin with the whole list."""
+        self.style = style
+        self.whole_list_written.clear()
+        for writer in set(self._watches) - self._silent_watches:
+            writer.write(LAST_CHUNK)
+            writer.close()
+
+    def send_series(self, count: int = LISTS_IN_SERIES) -> None:
+        """Send the whole list several times in a row on all watches, and a change without entries after each."""
+        for writer in self._watches:
+            for _ in range(count):
+                self._send(writer, self.encode_snapshot(self.style))
+                self._send(writer, self.style.encode(self._delta([])))
+
+    def encode_snapshot(self, style: ListStyle) -> bytes:
+        """Return the whole list in a style; it is kept until it changes, as encoding a long list takes a while."""
+        if (self._snapshot.version, self._snapshot.style) != (self._version, style):
+            self._snapshot = EncodedSnapshot(self._version, style, style.encode(self.snapshot()))
+        return self._snapshot.data
+
+    def change_silently(self, upstreams: Iterable[int], status: EndpointStatus) -> None:
+        """Change endpoints without sending the changes; only whole lists that are sent later have them."""
+        self._version += 1
+        for number in upstreams:
+            self._endpoints[number].status = status
+
+    def change_all(self, upstreams: Iterable[int], status: EndpointStatus) -> None:
+        """Change endpoints and send one change for each."""
+        for number in upstreams:
+            self.change(number, status, self._endpoints[number].boot_ms)
+
+    async def flush(self) -> float:
+        """Return the time at which the kernel has all that was sent on the watches."""
+        for writer in self._watches:
+            await writer.drain()
+        return now_s()
+
     def silence_watches(self) -> None:
         """Send nothing more on the current watches, which stay open."""
         self._silent_watches |= set(self._watches)
@@ -146,8 +200,11 @@
             while not self._reachable.is_set():
                 await self._reachable.wait()
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.transport.set_write_buffer_limits(high=0)  # `drain` waits until the kernel has all bytes
             self._watches.append(writer)
-            self._send_line(writer, json.dumps(self.snapshot()).encode())
+            self._send(writer, self.encode_snapshot(self.style))
+            await writer.drain()
+            self.whole_list_written.set()
             await self._keep_alive(reader, writer)
         if writer in self._watches:
             self._watches.remove(writer)
@@ -160,27 +217,27 @@
                 await asyncio.wait_for(reader.read(1), KEEPALIVE_S)
             except TimeoutError:
                 if self._reachable.is_set():
-                    self._send_line(writer, b"")
+                    self._send(writer, chunks(b"\n", self.style.part_size))
             else:
                 return
 
-    def _send_line(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+    def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         if writer in self._silent_watches or writer.is_closing():
             return
-        data = line + b"\n"
-        writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        writer.write(data)
         self.sent_bytes += len(data)
 
     def _publish(self, endpoint: ListedEndpoint) -> EndpointChange:
         self._version += 1
-        delta = {"rev": self._version, "all": False, "targets": [endpoint.entry()]}
-        line = json.dumps(delta).encode()
         for writer in self._watches:
-            self._send_line(writer, line)
+            self._send(writer, self.style.encode(self._delta([endpoint])))
         change = self._recorded_change(endpoint)
         self._records.endpoint_changes.append(change)
         return change
 
+    def _delta(self, changed: list[ListedEndpoint]) -> dict[str, Any]:
+        return {"rev": self._version, "all": False, "targets": [endpoint.entry() for endpoint in changed]}
+
     def _recorded_change(self, endpoint: ListedEndpoint) -> EndpointChange:
         """Return the record of a change that is sent now.
 
--- a/garnetusher/lab/soak/faults.py
+++ b/garnetusher/lab/soak/faults.py
@@ -13,6 +13,7 @@
 from garnetusher.lab.soak.crowd import Crowd, CrowdShape, CrowdTarget
 from garnetusher.lab.soak.discovery import DiscoveryAgent
 from garnetusher.lab.soak.flood import Flood, FloodKind
+from garnetusher.lab.soak.list_styles import PLAIN_STYLE, draw_style, prepare_styles
 from garnetusher.lab.soak.plan import (
     DISCOVERY_FAULTS,
     PEER_UPSTREAM_FAULTS,
@@ -36,6 +37,8 @@
 LONGEST_SYSCALL_FAULT_S = 0.3
 LARGEST_INTERRUPT_SHARE = 0.3
 PER_MILLE = 1000
+LIST_STYLE_INTERVAL_S = 0.7
+SERIES_MIN_PART_SIZE = 200  # bytes; a series in smaller parts would keep the stand-in itself busy
 CLIENT_DESCRIPTOR_DIVISOR = 3  # clients hold at most a third of the descriptors
 
 
@@ -62,6 +65,12 @@
         self._nodes = nodes
         self._longest_deadline_s = max(request_class.deadline_ms for request_class in plan.classes) / 1000
 
+    def prepare(self) -> None:
+        """Do the work for the faults that would delay the records if it were done during the load."""
+        for fault in self._plan.faults:
+            if fault.kind == FaultKind.LIST_STYLES:
+                prepare_styles(int(fault.value))
+
     async def apply_at(self, fault: Fault, at_s: float) -> None:
         """Wait until a time, inject a fault, and return when it is over."""
         await asyncio.sleep(max(0.0, at_s - now_s()))
@@ -76,6 +85,8 @@
             await asyncio.gather(*(self._apply_to_sidecar(fault, number) for number in fault.targets))
         elif fault.kind in DISCOVERY_FAULTS:
             await asyncio.gather(*(_apply_to_discovery(fault, nodes.agents[n]) for n in fault.targets))
+        elif fault.kind == FaultKind.LIST_STYLES:
+            await asyncio.gather(*(self._play_list_styles(fault, number) for number in fault.targets))
         elif fault.kind in (FaultKind.CROWD, FaultKind.FLOOD):
             await asyncio.gather(*(self._apply_pressure(fault, number) for number in fault.targets))
         else:
@@ -97,6 +108,19 @@
         flood.cancel()
         await asyncio.gather(flood, return_exceptions=True)
 
+    async def _play_list_styles(self, fault: Fault, number: int) -> None:
+        """Let one discovery agent write long lists, in one style after another, and several lists in a row."""
+        agent = self._nodes.agents[number]
+        rng = random.Random(f"{self._plan.seed}-{fault.kind}-{number}")
+        ends_s = now_s() + fault.duration_s
+        while now_s() < ends_s:
+            agent.change_style(draw_style(rng, int(fault.value)))
+            await asyncio.sleep(LIST_STYLE_INTERVAL_S)
+            if agent.style.part_size >= SERIES_MIN_PART_SIZE:
+                agent.send_series()
+            await asyncio.sleep(LIST_STYLE_INTERVAL_S)
+        agent.change_style(PLAIN_STYLE)
+
     async def _apply_to_upstream(self, fault: Fault, upstream: SimulatedUpstream) -> None:
         if fault.kind in (FaultKind.DRAIN, FaultKind.COLD_START):
             await self._replace(fault, upstream)
--- a/garnetusher/lab/soak/plan.py
+++ b/garnetusher/lab/soak/plan.py
@@ -73,6 +73,7 @@
     FLOOD = "flood"  # one client sends costly or useless bytes at full speed
     LATE_BODIES = "late_bodies"  # responses whose head comes at once and whose long body comes late
     REPEATED_IDS = "repeated_ids"  # clients disconnect and send the same request again
+    LIST_STYLES = "list_styles"  # long endpoint lists in layouts and parts of all kinds, and several in a row
 
 
 # The plan that is drawn for a seed depends on the order of the kinds.
@@ -123,6 +124,11 @@
 PRESSURE_KILLS = 3
 PRESSURE_KILL_GAP_S = 1.4
 LATE_BODY_SHARE = 0.3
+# This kind is drawn by `add_list_styles`.
+LIST_STYLES_S = 4.0
+LIST_STYLES_START_S = 5.0  # the styles change from before this time
+ADDED_ENDPOINTS = 1_000
+PRESSURE_ADDED_ENDPOINTS = 200  # at the least memory
 ALL_FAULTS = SIDECAR_FAULTS + UPSTREAM_FAULTS + DISCOVERY_FAULTS + CLIENT_FAULTS
 
 # Errors that end a connection by themselves. They are drawn only for the calls that make connections, since a read
@@ -151,8 +157,8 @@
     at_s: float
     duration_s: float = field(name="for_s")
     targets: list[int]  # the numbers of the sidecars or upstreams that the fault affects
-    # The offset of the wall clock in seconds, or the share of responses, connections or calls that fail. If the kind is
-    # `syscalls`, 0 means that one call fails.
+    # The offset of the wall clock in seconds, the number of endpoints that lists have in addition, or the share of
+    # responses, connections or calls that fail. If the kind is `syscalls`, 0 means that one call fails.
     value: float = 0.0
     call: int = 0  # the system call that fails, if the kind is `syscalls`
     error: int = 0  # the error of the system call, if the kind is `syscalls`; 0 stands for a short transfer
@@ -306,6 +312,17 @@
     )
 
 
+def add_list_styles(plan: Plan) -> Plan:
+    """Return the plan with discovery agents that write long lists in all ways that the protocol allows."""
+    rng = random.Random(f"{plan.seed}-lists")
+    at_s = round(QUIET_START_S + rng.random() * (LIST_STYLES_START_S - QUIET_START_S), 3)
+    targets = sorted(rng.sample(range(plan.sidecars), max(1, plan.sidecars // 2)))
+    is_under_pressure = plan.memory_mb <= PRESSURE_MEMORY_MB
+    added = PRESSURE_ADDED_ENDPOINTS if is_under_pressure else ADDED_ENDPOINTS
+    fault = Fault(FaultKind.LIST_STYLES, at_s, LIST_STYLES_S, targets, added)
+    return msgspec.structs.replace(plan, faults=sorted([*plan.faults, fault], key=lambda each: each.at_s))
+
+
 def _draw_faults(rng: random.Random, sidecars: int, upstreams: int) -> list[Fault]:
     """Return groups of faults; each kind is drawn once before any kind is drawn again."""
     faults: list[Fault] = []
--- a/garnetusher/lab/soak/run.py
+++ b/garnetusher/lab/soak/run.py
@@ -96,6 +96,7 @@
     async def _open(self) -> None:
         """Open the simulated nodes, inject the faults that precede the start, and start the sidecars."""
         plan = self.plan
+        self._injector.prepare()
         for number in range(plan.upstreams):
             upstream = SimulatedUpstream(number, self._host, plan.service_ms, self.records, plan.seed)
             self.nodes.upstreams.append(upstream)
--- a/tests/test_short_soak.py
+++ b/tests/test_short_soak.py
@@ -37,6 +37,7 @@
     FaultKind.RELOAD,
     FaultKind.RESET,
     FaultKind.HANG,
+    FaultKind.LIST_STYLES,
     *PEER_UPSTREAM_FAULTS,
     *PEER_CLIENT_FAULTS,
     *PRESSURE_UPSTREAM_FAULTS,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from garnetusher.lab.sidecars import build
 from garnetusher.lab.soak import plan as plans
 from garnetusher.lab.soak import slow_start
+from garnetusher.lab.soak.list_styles import PART_SIZES, Layout, ListStyle
 from garnetusher.lab.soak.oracle import Oracle
 from garnetusher.lab.soak.plan import Fault, FaultKind, Plan, RequestClass
 from garnetusher.lab.soak.records import (
@@ -31,8 +32,12 @@
 from garnetusher.lab.soak.reduce import reduce_plan
 from garnetusher.lab.soak.run import run_plan
 from garnetusher.lab.soak.size import ResourceUse, comparison_rows
+from garnetusher.policy.events import EndpointStatus as EndpointStatusOfPolicy
 from tests.experiment import ROOT
+from tests.net import entry, listing
+from tests.runner import run
 from tests.test_lab import write_tree
+from tests.watch_harness import RESPONSE_HEAD, WatcherHarness
 
 
 def small_plan(*faults: Fault, load_s: float = 3.0, rate_per_s: float = 12.0) -> Plan:
@@ -218,6 +223,33 @@
     assert {fault.kind for fault in extended.faults} >= peer_kinds
 
 
+def test_list_styles_leave_the_other_faults_of_a_seed_unchanged() -> None:
+    plan = plans.draw(5)
+    extended = plans.add_list_styles(plan)
+    added = [fault for fault in extended.faults if fault not in plan.faults]
+    assert [fault.kind for fault in added] == [FaultKind.LIST_STYLES]
+    assert [fault for fault in extended.faults if fault not in added] == plan.faults
+
+
+@pytest.mark.parametrize("layout", Layout)
+@pytest.mark.parametrize("part_size", PART_SIZES)
+def test_list_has_the_same_endpoints_when_it_is_written_in_any_style(layout: Layout, part_size: int) -> None:
+    async def test() -> None:
+        harness = WatcherHarness()
+        await harness.watch_permanently()
+        whole = listing(entry("u0", 1), entry("u1", 2), rev=3)
+        change = listing(entry("u1", 2, "leaving"), rev=4, full=False)
+        style = ListStyle(layout, part_size, added_endpoints=2)
+        data = RESPONSE_HEAD + style.encode(whole) + style.encode(change)
+        harness.watch().data_received(data)
+        ready, draining = EndpointStatusOfPolicy.READY, EndpointStatusOfPolicy.DRAINING
+        added = [("added-0", draining), ("added-1", draining)]
+        assert harness.updates == [(3, [("u0", ready), ("u1", ready), *added]), (4, [("u1", draining)])]
+        harness.stop()
+
+    run(test)
+
+
 def test_oracle_reports_breaches_of_drains_connections_and_processes_when_recorded() -> None:
     drained = EndpointChange(0, 0, EndpointStatus.DRAINING, 8.0)
     malformed = (
