Bound a field after a body that never ends, which the parser holds and copies for each part

Cause: httptools joins the parts of a field by copying all of it for each part, and reports it at its end. The limit on framing grows by 16 bytes for each byte of the body, so one field after a body of 32 MB could hold 512 MB, of client and upstream alike, outside the memory budget. Trailers were not counted as calls either, so reads that are full of them were not made smaller.

Change: bytes since the parser last reported a field, a head or a part of the body have a limit: 16 KiB in the framing of a request's body (413), 64 KiB in a response (too large). Trailers and interim heads count as calls.

--- a/garnetusher/sidecar/downstream/request_reader.py
+++ b/garnetusher/sidecar/downstream/request_reader.py
@@ -21,6 +21,7 @@
 # At this rate in bytes/s, the deadline moves on as fast as time passes. A slow client sends at twice this rate.
 MIN_BODY_RATE = 32_000
 MAX_DEADLINE_AHEAD_US = 5_000_000  # maximum time from now until a deadline that body bytes extend
+MAX_FIELD_SIZE = 16 * 1024  # bytes of a field, or of the framing of a chunk, that is not complete yet
 MAX_FRAMING_SIZE = 64 * 1024  # bytes of chunked framing that a body of any size may have
 MAX_FRAMING_PER_BODY_BYTE = 16  # additional framing bytes per body byte, because chunks may be of any size
 READINESS_TARGET = b"/up"
@@ -101,6 +102,7 @@
         self._body_size = 0  # number of body bytes that have been read
         self._passed_on_size = 0  # the part of `_body_size` that earlier calls of `feed` have passed on
         self._calls = 0  # number of header fields and body parts in the latest call of `feed`
+        self._unreported_size = 0  # number of bytes since the parser last reported either; it may hold all of them
 
     def release(self) -> None:
         """Discard the request, the parser and the callback, as the connection reads no further request.
@@ -232,6 +234,7 @@
         self._received_size += len(data)
         self._calls = 0
         self._parse(data)
+        self._unreported_size = 0 if self._calls else self._unreported_size + len(data)
         self._pass_on_body()
         self._check_size()
 
@@ -277,6 +280,8 @@
         max_framing_size = MAX_FRAMING_SIZE + MAX_FRAMING_PER_BODY_BYTE * self._body_size
         if self._is_reading and self._received_size > MAX_HEAD_SIZE + max_framing_size:
             raise RequestRejected(413, "the body's framing is too long")
+        if self.state is ReadState.BODY and self._unreported_size > MAX_FIELD_SIZE:
+            raise RequestRejected(413, "a field of the body's framing is too long")
 
     # Parser callbacks. They ignore data after a complete request.
 
--- a/garnetusher/sidecar/upstream/response_reader.py
+++ b/garnetusher/sidecar/upstream/response_reader.py
@@ -82,7 +82,7 @@
         body: the part of the body that has arrived and is not passed on.
         sink: the receiver of a streamed body; None while the body is buffered.
         received: the number of bytes of head and body that have arrived.
-        calls: the number of header fields and body parts in the latest call of `feed`.
+        calls: the number of heads, header fields, trailer fields and body parts in the latest call of `feed`.
         unwanted: whether no client waits for the response, which is therefore not read to its end.
     """
 
@@ -93,6 +93,7 @@
         "_headers_size",
         "_not_run",
         "_parser",
+        "_unreported_size",
         "body",
         "calls",
         "content_type",
@@ -123,6 +124,7 @@
         self.unwanted = False
         self._body_size = 0
         self._headers_size = 0
+        self._unreported_size = 0  # number of bytes since the parser last reported anything; it may hold all of them
         self._not_run = False
         self._chunked = False
 
@@ -156,8 +158,12 @@
 
     @property
     def exceeds_framing_limit(self) -> bool:
-        """Whether the response has too many bytes besides its body; an endless response would use up the memory."""
-        return self.received > MAX_FRAMING_SIZE + FRAMING_PER_BODY_BYTE * self._body_size
+        """Whether the response has too many bytes besides its body; an endless response would use up the memory.
+
+        A single field has its own limit: the parser holds it and copies it for each part in which it arrives.
+        """
+        max_size = MAX_FRAMING_SIZE + FRAMING_PER_BODY_BYTE * self._body_size
+        return self.received > max_size or self._unreported_size > MAX_HEADERS_SIZE
 
     @property
     def is_buffering_body(self) -> bool:
@@ -178,6 +184,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._set_unusable(self._error_reason(error))  # the following bytes could be taken for the next response
+        self._unreported_size = 0 if self.calls else self._unreported_size + len(data)
         self._pass_on_body()
 
     def _pass_on_body(self) -> None:
@@ -241,9 +248,9 @@
         Raises:
             ResponseTooLargeError: the total size of the headers exceeds MAX_HEADERS_SIZE.
         """
+        self.calls += 1
         if self.state is not _HEAD:
             return
-        self.calls += 1
         self._headers_size += len(name) + len(value)
         if self._headers_size > MAX_HEADERS_SIZE:
             raise ResponseTooLargeError(ResponsePart.HEADERS, MAX_HEADERS_SIZE)
@@ -265,6 +272,7 @@
         """
         if self._parser is None or self.state is _COMPLETE:
             return
+        self.calls += 1
         self.status = self._parser.get_status_code()
         if self.status >= 200:
             self.state = _BODY
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -76,7 +76,7 @@
     experiment_file.write_text(text(more=SILENT_ZONE))
     process = start_lab("run", str(experiment_file), "--out", str(out_folder), "--json")
     output, errors = process.communicate(timeout=120)
-    assert (process.returncode, errors) == (0, "")
+    assert (process.returncode, errors) == (0, ""), output
     document = json.loads(output)
     assert document["name"] == "small"
     assert document["seed"] == 5
