Let a new process take unsafe requests after a takeover from one that has had 16,384

Cause: the new process reads all shared records at its first claim, and took each as claimed now. Both generations of ids were then full of ids that may not be dropped for 30 s.

Change: a record carries its time on the machine's monotonic clock, in bytes that earlier versions write as zero, and is replayed as of that time; a time that is unknown or in the future counts as now, as before. The size of the file and of a record stay.

The test's earlier assertion on two fields of a record now states all three.

--- a/garnetusher/sidecar/requests/request_ids.py
+++ b/garnetusher/sidecar/requests/request_ids.py
@@ -9,7 +9,7 @@
 
 import enum
 from _blake2 import blake2b  # `hashlib` would load OpenSSL, which takes megabytes
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from garnetusher.sidecar.memory_budget import MemoryBudget, MemoryHolding
 
@@ -19,6 +19,7 @@
 MEMORY_DIVISOR = 8  # the ids take at most this part of the memory budget
 # An id is remembered at least for this time, or for the longest deduplication window of the settings if that is longer.
 MIN_RETENTION_US = 30_000_000
+UNKNOWN_TIME = 0
 
 
 class Claim(enum.Enum):
@@ -29,6 +30,20 @@
     FULL = "full"  # no further id can be remembered, so the request may not be forwarded
 
 
+class SharedRecord(NamedTuple):
+    """What one of the processes of a takeover has done with an id.
+
+    Attributes:
+        key: the key of the request.
+        claimed: whether the id was claimed; if not, it was forgotten.
+        written_us: the time on the monotonic clock of the machine, which all its processes share, or UNKNOWN_TIME.
+    """
+
+    key: int
+    claimed: bool
+    written_us: int
+
+
 class SharedIds(Protocol):
     """The ids that the processes of a takeover share."""
 
@@ -38,10 +53,10 @@
     def unlock(self) -> None:
         """Let other processes claim ids again."""
 
-    def read(self) -> list[tuple[int, bool]]:
-        """Return the keys that were written since the last call, and whether each is claimed or forgotten."""
+    def read(self) -> list[SharedRecord]:
+        """Return the records that were written since the last call."""
 
-    def write(self, key: int, *, claimed: bool) -> None:
+    def write(self, key: int, now_us: int, *, claimed: bool) -> None:
         """Write a key that this process has claimed or forgotten."""
 
 
@@ -81,7 +96,7 @@
             self._read_shared(now_us)
             result = self._claim(key, now_us)
             if result is Claim.NEW:
-                self.shared.write(key, claimed=True)
+                self.shared.write(key, now_us, claimed=True)
             return result
         finally:
             self.shared.unlock()
@@ -91,7 +106,7 @@
         self._discard(key)
         if self.shared is not None:
             self.shared.lock()
-            self.shared.write(key, claimed=False)
+            self.shared.write(key, UNKNOWN_TIME, claimed=False)
             self.shared.unlock()
 
     def _claim(self, key: int, now_us: int) -> Claim:
@@ -100,13 +115,21 @@
         return Claim.NEW if self._add(key, now_us) else Claim.FULL
 
     def _read_shared(self, now_us: int) -> None:
+        """Read the records of the other process, each as of its own time.
+
+        A new process reads thousands of records at once. As of now all of them would be too young to be dropped, and
+        there would be no room for a new id.
+        """
         if self.shared is None:
             return
-        for key, claimed in self.shared.read():
-            if claimed:
-                self._add(key, now_us)
+        for record in self.shared.read():
+            is_time_known = (
+                UNKNOWN_TIME < record.written_us <= now_us
+            )  # the file may be older than the start of the machine
+            if record.claimed:
+                self._add(record.key, record.written_us if is_time_known else now_us)
             else:
-                self._discard(key)
+                self._discard(record.key)
 
     def _add(self, key: int, now_us: int) -> bool:
         """Add a key; return False if the oldest keys may not be dropped for it yet."""
--- a/garnetusher/sidecar/requests/shared_request_ids.py
+++ b/garnetusher/sidecar/requests/shared_request_ids.py
@@ -12,10 +12,13 @@
 import struct
 from pathlib import Path
 
+from garnetusher.sidecar.requests.request_ids import SharedRecord
+
 FILE_NAME = "garnetusher-request-ids"
 CAPACITY = 16_384  # records
 COUNTER = struct.Struct("<Q")
-RECORD = struct.Struct("<Q?7x")
+RECORD = struct.Struct("<Q?3xI")  # key, whether it is claimed, time in seconds; earlier versions write the time 0
+US_PER_S = 1_000_000
 FILE_SIZE = COUNTER.size + CAPACITY * RECORD.size
 
 
@@ -41,20 +44,25 @@
         """Let other processes claim ids again."""
         fcntl.flock(self._descriptor, fcntl.LOCK_UN)
 
-    def read(self) -> list[tuple[int, bool]]:
-        """Return the keys that were written since the last call, and whether each is claimed or forgotten.
+    def read(self) -> list[SharedRecord]:
+        """Return the records that were written since the last call.
 
         The caller holds the lock. Records that have been overwritten in the ring are skipped.
         """
         count = self._count()
         first = max(self._read_count, count - CAPACITY)
         self._read_count = count
-        return [RECORD.unpack_from(self._map, _offset(number)) for number in range(first, count)]
+        return [self._record(number) for number in range(first, count)]
+
+    def _record(self, number: int) -> SharedRecord:
+        key, claimed, written_s = RECORD.unpack_from(self._map, _offset(number))
+        return SharedRecord(key, claimed, written_s * US_PER_S)
 
-    def write(self, key: int, *, claimed: bool) -> None:
+    def write(self, key: int, now_us: int, *, claimed: bool) -> None:
         """Write a key that this process has claimed or forgotten; the caller holds the lock."""
         count = self._count()
-        RECORD.pack_into(self._map, _offset(count), key, claimed)
+        written_s = -(-now_us // US_PER_S)  # rounded up, so that an id is kept for all of its time
+        RECORD.pack_into(self._map, _offset(count), key, claimed, written_s)
         COUNTER.pack_into(self._map, 0, count + 1)
         if self._read_count == count:
             self._read_count = count + 1
--- a/tests/cost_of_bytes.py
+++ b/tests/cost_of_bytes.py
@@ -217,7 +217,7 @@
     with tempfile.TemporaryDirectory() as folder:
         writer = SharedRequestIds(Path(folder))
         for key in range(count):
-            writer.write(key, claimed=True)
+            writer.write(key, key + 1, claimed=True)
         ids = RequestIds(MemoryBudget(), 0, SharedRequestIds(Path(folder)))
         return timed(lambda: ids.claim(count + 1, 0))
 
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import pytest
+
 from garnetusher.sidecar.memory_budget import MemoryBudget
 from garnetusher.sidecar.requests import shared_request_ids
 from garnetusher.sidecar.requests.request_ids import (
@@ -11,6 +13,7 @@
     MAX_IDS,
     MEMORY_DIVISOR,
     MIN_RETENTION_US,
+    UNKNOWN_TIME,
     Claim,
     RequestIds,
     request_key,
@@ -80,13 +83,36 @@
     assert [later.claim(key, 1) for key in (1, 2, 3)] == [Claim.REPEATED, Claim.REPEATED, Claim.NEW]
 
 
+def test_new_process_takes_new_ids_when_the_other_has_shared_as_many_as_fit(tmp_path: Path) -> None:
+    """Guards against a takeover after which the new process refuses all unsafe requests for 30 s."""
+    interval_us = 10_000
+    old = RequestIds(MemoryBudget(), 1, SharedRequestIds(tmp_path))
+    claims = [old.claim(key, 1_000_000 + key * interval_us) for key in range(CAPACITY)]
+    assert claims == [Claim.NEW] * CAPACITY
+    now_us = 1_000_000 + CAPACITY * interval_us
+    new = RequestIds(MemoryBudget(), now_us, SharedRequestIds(tmp_path))
+    assert new.claim(CAPACITY, now_us) is Claim.NEW
+    retained = range(CAPACITY - MIN_RETENTION_US // interval_us, CAPACITY)
+    assert all(new.claim(key, now_us) is Claim.REPEATED for key in retained)
+
+
+@pytest.mark.parametrize("written_us", [UNKNOWN_TIME, 60_000_000])
+def test_shared_ids_count_as_young_when_their_time_is_unknown_or_in_the_future(tmp_path: Path, written_us: int) -> None:
+    writer = SharedRequestIds(tmp_path)
+    for key in range(CAPACITY):
+        writer.write(key, written_us, claimed=True)
+    ids = RequestIds(MemoryBudget(), 2, SharedRequestIds(tmp_path))
+    assert ids.claim(CAPACITY, 2) is Claim.FULL
+    assert ids.claim(CAPACITY - 1, 2) is Claim.REPEATED
+
+
 def test_shared_records_are_read_once_and_overwritten_in_order(tmp_path: Path) -> None:
     writer, reader = SharedRequestIds(tmp_path), SharedRequestIds(tmp_path)
     assert (tmp_path / shared_request_ids.FILE_NAME).stat().st_size == shared_request_ids.FILE_SIZE
     for key in range(CAPACITY + 5):
-        writer.write(key, claimed=bool(key % 2))
+        writer.write(key, 7_000_000, claimed=bool(key % 2))
     records = reader.read()
-    assert records[0] == (5, True)
-    assert records[-1] == (CAPACITY + 4, False)
+    assert records[0] == (5, True, 7_000_000)
+    assert records[-1] == (CAPACITY + 4, False, 7_000_000)
     assert len(records) == CAPACITY
     assert reader.read() == writer.read() == []
