Make room at the limit of connections among peers that have their error and go on sending

Cause: at the limit, `_close_oldest` chose among connections in the state ACTIVE only. One that has its response and whose client still sends is CLOSING, and stays for up to 10 s. Beside such peers the only candidates were idle connections of sound clients, which were closed, while accept failed for want of descriptors.

So a close that only waits for its end gives way first, if the kernel has all of its response: before connections without a valid request, before idle ones, and last of all those of clients that have sent a valid request.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -39,6 +39,7 @@
 MAX_HIDDEN_CLOSE_US = 50_000  # half the time after a close within which an attempt may begin
 MIN_HIDING_SIZE = 32 * 1024  # with fewer unread bytes, the receive buffer has room for the end of the input
 EMPTY_LINE = b"\r\n"
+FORCED_CLOSES = "closes of connections that did not wait for the client"  # the name of a counter
 LINGER_CHECK_INTERVAL_S = 1.0  # interval between checks whether a client has read its last response
 
 
@@ -535,6 +536,16 @@
         else:
             self.transport.abort()
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the kernel has the whole last response, and the connection only waits for the client's close."""
+        return self.closing and not self.transport.is_closing() and not self.writer.unsent_size
+
+    def end_lingering_close(self) -> None:
+        """Close at once, because another connection needs the descriptor; the client may have to do without an end."""
+        self.server.trace.count(FORCED_CLOSES)
+        self.transport.abort()
+
     def schedule_close(self, reason: ClientCloseReason) -> None:
         """Close an idle connection after two event loop iterations, which read pending input from the kernel.
 
--- a/garnetusher/sidecar/downstream/server.py
+++ b/garnetusher/sidecar/downstream/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 
 from garnetusher.policy.settings import Settings
@@ -120,23 +121,34 @@
         return min(self.event_loop_lag.earliest_arrival_us(), stalled_since_us or monotonic_us())
 
     def add_connection(self, connection: DownstreamConnection) -> None:
-        """Add a connection; at the limit, close the oldest connection without an open request.
+        """Add a connection; at the limit, close another one that has no open request.
 
-        The limit reserves descriptors for upstream connections. Connections that have not sent a valid request yet are
-        closed before the others.
+        The limit reserves descriptors for upstream connections.
         """
         if len(self.connections) >= self._max_connections:
-            self._close_oldest()
+            self._make_room()
         self.connections[connection] = None
 
-    def _close_oldest(self) -> None:
-        candidates = [each for each in self.connections if each.state is ConnectionState.ACTIVE]
-        oldest = next((each for each in candidates if not each.has_sent_valid_request), None)
-        if oldest is None:
-            oldest = next((each for each in candidates if each.idle), None)
+    def _make_room(self) -> None:
+        """Close the oldest connection of the first group that has one.
+
+        Connections that have not sent a valid request yet are closed before the others. Those whose client has its
+        response, but goes on sending, come first: nobody waits for anything on them.
+        """
+        lingering = [each for each in self.connections if each.is_lingering]
+        active = [each for each in self.connections if each.state is ConnectionState.ACTIVE]
+        groups = (
+            (each for each in lingering if not each.has_sent_valid_request),
+            (each for each in active if not each.has_sent_valid_request),
+            (each for each in active if each.idle),
+            iter(lingering),
+        )
+        oldest = next(itertools.chain(*groups), None)
         if oldest is None:
             return
-        if oldest.idle:
+        if oldest.is_lingering:
+            oldest.end_lingering_close()
+        elif oldest.idle:
             oldest.schedule_close(ClientCloseReason.CONNECTION_LIMIT)
         else:
             oldest.schedule_eviction()
