Give the lingering close of a client connection a module of its own

Its end of a connection whose client has the last response (timer, deadline, last input) needs the response writer alone and moves to `downstream/lingering_close.py`.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
 import logging
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.downstream.arrival_time import ArrivalTimes
 from garnetusher.sidecar.downstream.errors import RequestRejected
+from garnetusher.sidecar.downstream.lingering_close import LingeringClose
 from garnetusher.sidecar.downstream.paced_reading import PacedReading
 from garnetusher.sidecar.downstream.request_reader import RequestReader
 from garnetusher.sidecar.downstream.response_writer import ResponseWriter, content_type_header, retry_after_header
@@ -40,7 +40,6 @@
 MIN_HIDING_SIZE = 32 * 1024  # with fewer unread bytes, the receive buffer has room for the end of the input
 EMPTY_LINE = b"\r\n"
 FORCED_CLOSES = "closes of connections that did not wait for the client"  # the name of a counter
-LINGER_CHECK_INTERVAL_S = 1.0  # interval between checks whether a client has read its last response
 
 
 class ConnectionState(enum.Enum):
@@ -64,8 +63,7 @@
         has_open_request: Whether the dispatcher handles a request from this connection; False after the response.
         has_sent_valid_request: Whether the client has sent a valid request. After the first valid request, each
             further request has the full read time-out.
-        idle_since_us: The latest time at which the connection was set up, finished a response, or discarded input while
-            it was closing.
+        idle_since_us: The latest time at which the connection was set up or finished a response.
     """
 
     def __init__(self, server: DownstreamServer, sock: ShortageTolerantSocket | None = None) -> None:
@@ -89,7 +87,7 @@
         self._request_id = 0  # the dispatcher's identifier of the current request
         self._close_reason: ClientCloseReason | None = None  # set once it closes after the current response
         self._is_close_recorded = False
-        self._linger_timer: asyncio.TimerHandle | None = None  # for the next check of a lingering close
+        self._lingering_close = LingeringClose(self.writer)
         self._client_half_closed = False  # the client has closed its sending side
         self._has_body_memory = False  # whether the body has a place in the body memory
 
@@ -156,8 +154,7 @@
         self.reader.release()
         self.writer.reset()
         self.holding.release()
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        self._lingering_close.cancel()
 
     def eof_received(self) -> bool:
         """Handle the end of the client's input and return whether the connection stays open.
@@ -208,7 +205,7 @@
             is_full: Whether the read was as large as it could be, so that more bytes may be unread.
         """
         if self.closing:
-            self.idle_since_us = monotonic_us()
+            self._lingering_close.note_input()
             return False
         between_requests = self.reader.complete or not self.reader.message_started_us
         if between_requests and data == EMPTY_LINE:
@@ -505,10 +502,7 @@
             self.server.trace.record_state(EventName.CLIENT_CLOSE, reason)
 
     def _start_lingering_close(self, reason: ClientCloseReason) -> None:
-        """Close the sending side and discard further input.
-
-        Closing a socket with unread bytes resets the connection, and the client might lose the response.
-        """
+        """Close the sending side and discard further input."""
         self._record_close(reason)
         self.state = ConnectionState.CLOSING
         self.reader.release()  # the close may take seconds
@@ -516,35 +510,17 @@
             self.transport.close()
             return
         self.reading.resume()
-        with contextlib.suppress(OSError):  # the client may have just reset the connection
-            self.transport.write_eof()
-        self.idle_since_us = monotonic_us()
-        self._continue_lingering_close(self.idle_since_us + STALL_TIMEOUT_US)
-
-    def _continue_lingering_close(self, deadline_us: int) -> None:
-        """Abort the connection when the client has received the whole response and has stopped sending.
-
-        Args:
-            deadline_us: The time after which the connection is aborted even if the client keeps sending.
-        """
-        now_us = monotonic_us()
-        still_sends = self.idle_since_us + LINGER_CHECK_INTERVAL_S * 1e6 > now_us and deadline_us > now_us
-        if self.writer.unsent_size or still_sends:
-            self._linger_timer = asyncio.get_running_loop().call_later(
-                LINGER_CHECK_INTERVAL_S, self._continue_lingering_close, deadline_us
-            )
-        else:
-            self.transport.abort()
+        self._lingering_close.start()
 
     @property
     def is_lingering(self) -> bool:
         """Whether the kernel has the whole last response, and the connection only waits for the client's close."""
-        return self.closing and not self.transport.is_closing() and not self.writer.unsent_size
+        return self._lingering_close.only_waits_for_client
 
     def end_lingering_close(self) -> None:
-        """Close at once, because another connection needs the descriptor; the client may have to do without an end."""
+        """Close at once, because another connection needs the descriptor."""
         self.server.trace.count(FORCED_CLOSES)
-        self.transport.abort()
+        self._lingering_close.abort()
 
     def schedule_close(self, reason: ClientCloseReason) -> None:
         """Close an idle connection after two event loop iterations, which read pending input from the kernel.
