Keep a begun response whose upstream is silent for as long as there is room

Cause: `ConnectionPool._abort_stalled_responses` ended each streamed response after 10 s without a byte. The limit was kept so that silent peers can't use up memory and descriptors.

Change: a response stalled for 10 s ends only when memory is short (less than one buffer is free) or more than 16 responses have stalled, the longest stall first. A client that leaves still ends its response at once.

The test of close reasons in test_trace.py now sets the number of stalled responses to 0, as time alone gives the reason no more; what it expects is the same.

--- a/garnetusher/sidecar/streaming.py
+++ b/garnetusher/sidecar/streaming.py
@@ -10,7 +10,7 @@
 
 MAX_BUFFERED_SIZE = 64 * 1024  # bytes; a longer body or response is streamed
 MAX_BODY_SIZE = 32 * 1024 * 1024  # bytes; the limit for a body or a response
-# A peer that reads or sends nothing for this time has failed; a slow peer may take seconds.
+# A peer that reads or sends nothing for this time has stalled; a slow peer may take seconds.
 STALL_TIMEOUT_US = 10_000_000
 # The maximum memory for one long body in bytes, including the bytes that are read but not yet written.
 UPLOAD_MEMORY_SIZE = 256 * 1024
--- a/garnetusher/sidecar/transitions.py
+++ b/garnetusher/sidecar/transitions.py
@@ -80,6 +80,6 @@
     MALFORMED_RESPONSE = "malformed response"
     RESPONSE_TOO_LARGE = "response too large"
     RESPONSE_NOT_WANTED = "response not wanted"  # no client waits for a long response
-    RESPONSE_STALLED = "response stalled"  # the upstream sent nothing of a streamed response for STALL_TIMEOUT_US
+    RESPONSE_STALLED = "response stalled"  # its upstream sent nothing for STALL_TIMEOUT_US, and room was needed
     ATTEMPT_ABANDONED = "attempt abandoned"  # it was written, and its response is not awaited any more
     LOCAL_SHORTAGE = "shortage on this machine"
--- a/garnetusher/sidecar/upstream/pool.py
+++ b/garnetusher/sidecar/upstream/pool.py
@@ -18,6 +18,8 @@
 from garnetusher.sidecar.upstream.idle_reuse import PREFERRED_SILENCE_US, IdleReuseEstimator
 from garnetusher.sidecar.upstream.request_writer import Address
 
+# Each stalled response holds two descriptors: an eighth of the least that a deployment has.
+MAX_STALLED_RESPONSES = 16
 SWEEP_INTERVAL_S = 0.1  # must be well below IDLE_TIMEOUT_MARGIN_US, or the upstream could close a connection first
 
 
@@ -175,7 +177,7 @@
             connection.close(reason)
 
     def sweep(self) -> None:
-        """Close idle connections before their upstream does, and connections whose streamed response has stalled."""
+        """Close idle connections before their upstream does, and those of stalled responses if room is needed."""
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         self.idle_reuse.decay()
         self._abort_stalled_responses(monotonic_us() - STALL_TIMEOUT_US)
@@ -192,8 +194,14 @@
         return UpstreamCloseReason.IDLE_REUSE_EVIDENCE
 
     def _abort_stalled_responses(self, no_data_since_us: int) -> None:
+        """Close connections whose streamed response has stalled if their room is needed, the longest stall first.
+
+        A hanging upstream may send the rest after any time, and its client waits for it; so time alone ends none.
+        """
         stalled = [each for each in self.streaming if not each.reading_paused and each.last_read_us <= no_data_since_us]
-        for connection in stalled:
+        stalled.sort(key=lambda each: each.last_read_us)
+        kept_count = 0 if self.memory.must_stream else MAX_STALLED_RESPONSES
+        for connection in stalled[: max(0, len(stalled) - kept_count)]:
             connection.abort_response(UpstreamCloseReason.RESPONSE_STALLED)
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -191,6 +191,7 @@
     monkeypatch: pytest.MonkeyPatch, what: EventName, reason: str, sent: bytes, response: bytes
 ) -> None:
     monkeypatch.setattr(pool_module, "STALL_TIMEOUT_US", 300_000)
+    monkeypatch.setattr(pool_module, "MAX_STALLED_RESPONSES", 0)
     if reason in ("no request", "read timeout"):
         monkeypatch.setattr(request_reader, "READ_TIMEOUT_US", 300_000)
 
