Reword comment fragments and describe the last public parts without a docstring

19 comments behind code were parts of sentences ('when ...', 'how often ...', 'as ...'), and 19 public parts had no docstring by a count stricter than the linter's; both counts are 0 now.

--- a/garnetusher/cli/console.py
+++ b/garnetusher/cli/console.py
@@ -51,6 +51,7 @@
         task = bar.add_task(title, total=1.0)
 
         def update(activity: str, share: float) -> None:
+            """Show an activity and the completed share, from 0 to 1."""
             bar.update(task, description=f"{title}: {activity}", completed=share)
 
         yield update
--- a/garnetusher/lab/run.py
+++ b/garnetusher/lab/run.py
@@ -116,9 +116,11 @@
 
     @property
     def exited(self) -> bool:
+        """Whether the process was started and has ended."""
         return self.process is not None and self.process.returncode is not None
 
     async def start(self) -> WorkerReady:
+        """Start the process, send its job and return its first message."""
         with self.log_path.open("wb") as log_file:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -135,6 +137,11 @@
         return await self.receive(WorkerReady)
 
     async def send(self, message: Struct) -> None:
+        """Send a message; do nothing if the process has closed its input.
+
+        Raises:
+            WorkerNotStartedError: The process was not started.
+        """
         if self.process is None or self.process.stdin is None:
             raise WorkerNotStartedError(self.job.name)
         self.process.stdin.write(msgspec.json.encode(message) + b"\n")
@@ -142,6 +149,7 @@
             await self.process.stdin.drain()
 
     async def receive(self, message_type: type[Message]) -> Message:
+        """Return the next message, or raise an error with the last lines of the log if none comes in time."""
         if self.process is None or self.process.stdout is None:
             raise WorkerNotStartedError(self.job.name)
         try:
@@ -223,6 +231,7 @@
 
 def _cancel_callback(task: asyncio.Task[object] | None) -> Callable[[], None]:
     def cancel() -> None:
+        """Cancel the task, if there is one."""
         if task is not None:
             task.cancel()
 
@@ -257,6 +266,7 @@
         return (time.monotonic_ns() - self.zero_ns) // 1000
 
     async def run(self) -> CompletedRun:
+        """Build the tree, start all processes, wait for the end of the run and return its records."""
         self.progress("building", 0.0)
         await asyncio.to_thread(sidecars.build, self.tree, membership=self.experiment.sidecars.membership)
         self.progress("starting", 0.0)
--- a/garnetusher/lab/soak/campaign.py
+++ b/garnetusher/lab/soak/campaign.py
@@ -106,6 +106,7 @@
     run_numbers = itertools.count()
 
     def find_broken_rules(candidate: Plan) -> set[str]:
+        """Run a plan and return the names of the rules that it broke."""
         run_folder = folder / f"reduce-{plan.seed}-{next(run_numbers)}"
         return {breach.rule for breach in run_plan(candidate, run_folder, tree).breaches}
 
--- a/garnetusher/lab/soak/crowd.py
+++ b/garnetusher/lab/soak/crowd.py
@@ -36,7 +36,7 @@
     SLOW_BODIES = "slow bodies"  # bodies just under the size that is streamed, in small pieces
     HALF_BODIES = "half bodies"  # the first half of a body, and nothing more
     SHORT_FIELDS = "short fields"  # heads with thousands of short fields, whose last line comes late
-    EMPTY_FIELDS = "empty fields"  # as SHORT_FIELDS, with names of one byte and no values
+    EMPTY_FIELDS = "empty fields"  # SHORT_FIELDS with names of one byte and no values
     SLOW_READERS = "slow readers"  # responses of 60 to 500 KB that are read slowly through a small window
     LONG_IDS = "long ids"  # heads with an id of almost 16 KB
 
--- a/garnetusher/lab/soak/discovery.py
+++ b/garnetusher/lab/soak/discovery.py
@@ -36,7 +36,7 @@
     host: str
     port: int
     status: EndpointStatus
-    boot_ms: int  # when the upstream started, in milliseconds since the epoch; 0 = long ago
+    boot_ms: int  # the start of the upstream, in milliseconds since the epoch; 0 = long ago
 
     def entry(self) -> dict[str, Any]:
         """Return the endpoint as an entry of the JSON list."""
--- a/garnetusher/lab/soak/plan.py
+++ b/garnetusher/lab/soak/plan.py
@@ -47,12 +47,12 @@
     WALL_CLOCK = "wall_clock"
     SYSCALLS = "syscalls"  # a system call fails
     DRAIN = "drain"  # the upstream drains, is removed from the list, restarts and is listed again
-    COLD_START = "cold_start"  # as DRAIN, but the upstream is removed without a drain
+    COLD_START = "cold_start"  # DRAIN, but the upstream is removed without a drain
     HANG = "hang"  # no response to requests that arrive meanwhile
     RESET = "reset"  # a share of the upstream's connections is reset once
     ERRORS = "errors"  # responses with status 500
     REJECT = "turn_away"  # responses with status 503 which state that the request was not run
-    SILENT = "silent"  # as HANG, and no response to earlier requests that become due meanwhile
+    SILENT = "silent"  # HANG, and no response to earlier requests that become due meanwhile
     SUSPENDED_ACCEPT = "late"  # the upstream does not accept connections, and its backlog is full
     GARBAGE = "garbage"  # malformed responses
     IDLE_CLOSE = "idle_close"  # idle connections are closed early
--- a/garnetusher/lab/soak/reduce.py
+++ b/garnetusher/lab/soak/reduce.py
@@ -10,7 +10,7 @@
 
 # A race occurs only in some runs, so a candidate passes only if none of this many runs breaks one of the rules.
 RUNS_PER_CANDIDATE = 3
-MAX_SIDECAR_HALVINGS = 2  # how often the number of sidecars may be halved
+MAX_SIDECAR_HALVINGS = 2  # the largest number of times the sidecars may be halved
 
 
 class PlanReducer:
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -63,7 +63,7 @@
         self.records = records
         self.random = random.Random(f"{seed}-{number}")
         self.incarnation = 0  # the number of restarts
-        self.boot_ms = 0  # when the upstream last restarted, in milliseconds since the epoch; 0 = long ago
+        self.boot_ms = 0  # the last restart, in milliseconds since the epoch; 0 = long ago
         self.active_faults: dict[FaultKind, float] = {}  # the share of requests that each fault affects
         self.connections: set[UpstreamConnection] = set()
         self.listeners: dict[int, UpstreamListener] = {}  # the listeners by the number of the sidecar
@@ -126,7 +126,7 @@
         self.upstream = upstream
         self.sidecar = sidecar
         self.loop = asyncio.get_running_loop()
-        self.resumed_s = 0.0  # when the listener last resumed accepting
+        self.resumed_s = 0.0  # the time at which the listener last resumed accepting
         self._socket = socket.socket()
         self._socket.setblocking(False)  # noqa: FBT003 - setblocking takes no keyword arguments
         self._socket.bind((upstream.host, 0))
--- a/garnetusher/membership/view.py
+++ b/garnetusher/membership/view.py
@@ -67,7 +67,7 @@
         self.state_since_us: dict[str, int] = {}
         self.active_count = 0
         self._buckets = [0] * BUCKETS
-        self._broadcast_counts: dict[str, int] = {}  # how often each pending entry was sent or received again
+        self._broadcast_counts: dict[str, int] = {}  # the number of times each pending entry was sent or received again
         self._pending_by_count: list[dict[str, None]] = []  # the same names, grouped by count, oldest first
 
     def apply(self, entry: Entry, now_us: int, *, broadcast: bool = True) -> Entry | None:
--- a/garnetusher/model/ablations.py
+++ b/garnetusher/model/ablations.py
@@ -48,6 +48,7 @@
     change_state: Callable[[Zones, Zone, ZoneState, str], None] = Zones.change_state
 
     def change_state_without_refusal(self: Zones, zone: Zone, state: ZoneState, reason: str) -> None:
+        """Change the state of a zone, and forget that it refused connections."""
         zone.refused_when_evacuated = False
         change_state(self, zone, state, reason)
 
--- a/garnetusher/model/contract_host.py
+++ b/garnetusher/model/contract_host.py
@@ -113,8 +113,8 @@
         self.balancer = Balancer(self.settings, seed, self.now_us)
         self.request_records: dict[int, RequestRecord] = {}
         self.latest_entries: dict[int, Endpoint] = {}  # the latest entry of each upstream in the endpoint list
-        self.addition_counts: dict[int, int] = {}  # how often each upstream has been added to the list
-        self.unavailable_since_us: dict[int, int] = {}  # when each draining or removed upstream became unavailable
+        self.addition_counts: dict[int, int] = {}  # the number of times each upstream was added to the list
+        self.unavailable_since_us: dict[int, int] = {}  # the start of each draining or removal
         self.timers: list[tuple[int, int]] = []  # (time, token)
         self.actions: list[Action] = []
         self.next_id = 1
--- a/garnetusher/model/discovery_client.py
+++ b/garnetusher/model/discovery_client.py
@@ -15,7 +15,7 @@
     from garnetusher.model.sidecar import SimulatedSidecar
     from garnetusher.model.simulation import Simulation
 
-CALL_TIMEOUT_US = 2_500_000  # as `RESPONSE_TIMEOUT_S` in garnetusher/sidecar/discovery/watch.py
+CALL_TIMEOUT_US = 2_500_000  # equals `RESPONSE_TIMEOUT_S` in garnetusher/sidecar/discovery/watch.py
 # The delay before a failed call is repeated if the policy does not poll; as `RECONNECT_DELAY_S` in watch.py.
 WATCH_RETRY_US = 250_000
 ENDPOINT_STATUSES = {
--- a/garnetusher/model/discovery_node.py
+++ b/garnetusher/model/discovery_node.py
@@ -24,7 +24,7 @@
         self._simulation = simulation
         self._clock = simulation.clock
         self._settings = simulation.experiment.directory
-        self._busy_until_us = 0  # when the service has answered all queued calls
+        self._busy_until_us = 0  # the time at which all queued calls are answered
         self._entries = {
             upstream.uid: ListStep(0, upstream.uid, upstream.zone, "active")
             for upstream in simulation.plan.upstreams
--- a/garnetusher/model/experiment.py
+++ b/garnetusher/model/experiment.py
@@ -403,6 +403,7 @@
     factor = sidecars / sum(experiment.sidecars.per_zone.values())
 
     def scaled_counts(counts: dict[str, int]) -> dict[str, int]:
+        """Return the count of each zone for the new size; a zone that had some keeps at least one."""
         return {zone: max(1, round(count * factor)) if count else 0 for zone, count in counts.items()}
 
     replace = msgspec.structs.replace
--- a/garnetusher/model/explore/membership.py
+++ b/garnetusher/model/explore/membership.py
@@ -144,8 +144,8 @@
         self._returned_log_events: dict[str, int] = {}  # number of log events of each node that were returned
         self._one_way_cuts: set[tuple[str, str]] = set()
         self._split_sides: dict[str, int] = {}  # side of each node in a network split, by name
-        self._network_fault_since_us = 0  # when the first current cut or split began; 0 = all nodes are connected
-        self._healed_at_us = 0  # when the last network fault ended
+        self._network_fault_since_us = 0  # the start of the first current cut or split; 0 = all nodes are connected
+        self._healed_at_us = 0  # the end of the last network fault
         # Whether the shares may add up to more than one during the current network fault, or could during the last one,
         # because a node may not count another one that uses a share.
         self._excess_expected = False
--- a/garnetusher/model/link.py
+++ b/garnetusher/model/link.py
@@ -48,7 +48,7 @@
         self._rng = rng
         self._last_arrival_us = 0
         self._in_transit: deque[tuple[int, bytes]] = deque()  # (arrival time or UNSCHEDULED_US, data) in order
-        self._first_held_us: int | None = None  # when the first bytes were sent during the current cut
+        self._first_held_us: int | None = None  # the time of the first bytes that were sent during the current cut
 
     def send(self, now_us: int, data: bytes) -> None:
         """Send bytes; during a cut they are held back until `end_cut`."""
--- a/garnetusher/model/membership_scenario.py
+++ b/garnetusher/model/membership_scenario.py
@@ -105,6 +105,7 @@
         self.times_us: dict[str, dict[str, int]] = {}
 
     def member_changed(self, node: Node, now_us: int, change: MemberChanged) -> None:
+        """Record when a node first learnt that a member has failed."""
         if change.entry.state == State.FAILED:
             self.times_us.setdefault(change.entry.name, {}).setdefault(node.name, now_us)
 
--- a/garnetusher/model/records.py
+++ b/garnetusher/model/records.py
@@ -37,7 +37,7 @@
     cls: int  # the index of the request class
     tenant: int  # the index of the tenant
     first_t: int
-    until_t: int  # when the client timeout of this call expires
+    until_t: int  # the time at which the client timeout of this call expires
 
 
 class ResponseReceived(Record, tag="answered"):
--- a/garnetusher/model/recovery.py
+++ b/garnetusher/model/recovery.py
@@ -31,6 +31,7 @@
 
     @classmethod
     def of(cls, experiment: Experiment, requests: list[Request], end_us: int) -> Self:
+        """Return the offered and the served worth of the requests, in the bins in which they were due."""
         objectives_us = [request_class.aim_ms * 1000 for request_class in experiment.classes]
         count = end_us // BIN_US + 1
         bins = cls(np.zeros(count), np.zeros(count))
--- a/garnetusher/model/upstream_overload.py
+++ b/garnetusher/model/upstream_overload.py
@@ -15,7 +15,7 @@
         self._enabled = settings.choke_times > 1
         self._degraded_since_us: int | None = None
         self._overloaded_since_us: int | None = None
-        self._idle_since_us: int | None = None  # when the load of a degraded machine last fell to `choke_below`
+        self._idle_since_us: int | None = None  # the last fall of a degraded machine's load to `choke_below`
 
     @property
     def degraded(self) -> bool:
@@ -75,6 +75,7 @@
     warm_up_us = settings.warm_up_s * 1e6
 
     def warm_up_fraction(at_us: float) -> float:
+        """Return the part of its full capacity that the upstream has at a time."""
         gained_fraction = (1 - settings.cold_share) * max(0.0, at_us - started_us) / warm_up_us
         return min(1.0, settings.cold_share + gained_fraction)
 
--- a/garnetusher/policy/settings_text.py
+++ b/garnetusher/policy/settings_text.py
@@ -34,6 +34,11 @@
         self.pairs = pairs
 
     def text(self, path: str, default: str | None = None) -> str:
+        """Return a text.
+
+        Raises:
+            SettingsTextError: The setting is missing and has no default.
+        """
         value = self.pairs.get(path, default)
         if value is None:
             message = f"setting {path} is missing"
@@ -41,6 +46,7 @@
         return value
 
     def number(self, path: str, default: str | None = None) -> float:
+        """Return a finite number, or raise `SettingsTextError`."""
         value = self.text(path, default)
         try:
             number = float(value)
@@ -52,6 +58,7 @@
         return number
 
     def integer(self, path: str, default: str | None = None) -> int:
+        """Return a whole number, or raise `SettingsTextError`."""
         number = self.number(path, default)
         if number != int(number):
             message = f"setting {path}: expected a whole number, got {self.text(path, default)!r}"
@@ -59,6 +66,7 @@
         return int(number)
 
     def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
+        """Return one of the choices, or raise `SettingsTextError`."""
         value = self.text(path, default)
         if value not in choices:
             message = f"setting {path}: expected one of {', '.join(choices)}, got {value!r}"
@@ -66,6 +74,7 @@
         return value
 
     def flag(self, path: str, default: str | None = None) -> bool:
+        """Return a truth value, or raise `SettingsTextError`."""
         return self.choice(path, ("true", "false"), default) == "true"
 
 
--- a/garnetusher/sidecar/read_pacing.py
+++ b/garnetusher/sidecar/read_pacing.py
@@ -13,7 +13,7 @@
 MIN_READ_SIZE = 512  # bytes
 MAX_CALLS_PER_READ = 256  # about half a millisecond of parsing
 DENSE_CALLS = MAX_CALLS_PER_READ // 2  # a read with more calls is followed by a pause
-GROWTH_FACTOR = 4  # of the reads of a peer whose bytes are not dense
+GROWTH_FACTOR = 4  # the reads of a peer whose bytes are not dense grow by this factor
 PAUSE_S = 0.005  # one connection takes at most about a tenth of a core
 CONNECTIONS_PER_PAUSE = 4  # with more paused connections than this, the pauses grow in proportion to their number
 
--- a/garnetusher/sidecar/requests/endpoints.py
+++ b/garnetusher/sidecar/requests/endpoints.py
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self._ready: dict[int, ReadyEndpoint] = {}
-        self._ids: dict[Address, int] = {}  # of ready endpoints; if several share an address, the latest one
+        self._ids: dict[Address, int] = {}  # ready endpoints; if several share an address, the latest one
 
     @property
     def any_ready(self) -> bool:
--- a/garnetusher/sidecar/service.py
+++ b/garnetusher/sidecar/service.py
@@ -31,8 +31,9 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
 
     def reload_on_sighup(sidecar: Sidecar) -> None:
+        """Let the sidecar read its file at each SIGHUP, also at one that has arrived already."""
         loop.add_signal_handler(signal.SIGHUP, Reloader(path, sidecar.reload).on_signal)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # a signal that has arrived already is handled now
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
     await serve(configuration, stop, reload_on_sighup, inherited)
 
