Excuse three things in the soak's oracle that traces show to be allowed

- `cut`: of two responses with heads in time one is passed on; its upstream reset it, and the sidecar's end of the other counted.
Attempts now record a reset by their upstream, and only such a reset, at the end of a broken response, excuses the other.
- `duplicate`: a repeat that waited in a backlog was judged by the time of its accept.
It is judged by the latest time at which it can have been written, which the time that it announces tells.
- `lost`: a request recorded after a lag counted as sent after its process was killed; the measured lag is added to the 0.3 s.

Each narrowing has a test that it stays a breach otherwise; no bound changed.

--- a/garnetusher/lab/soak/allowances.py
+++ b/garnetusher/lab/soak/allowances.py
@@ -94,7 +94,8 @@
 
     def allows_missing_response(self, request: Request) -> bool:
         """Return whether the end of the sidecar's process explains why a request had no response."""
-        return any(_explains_missing_response(event, request) for event in self._events[request.sidecar])
+        lag_s = self.recording_slack_s(request.sent_s) - RECORDING_DELAY_S
+        return any(_explains_missing_response(event, request, lag_s) for event in self._events[request.sidecar])
 
     def ended_near_connection(self, sidecar: int, connected_s: float) -> bool:
         """Return whether the process was killed or terminated near the time of a malformed connection."""
@@ -134,9 +135,10 @@
     return pauses
 
 
-def _explains_missing_response(event: ProcessEvent, request: Request) -> bool:
+def _explains_missing_response(event: ProcessEvent, request: Request, lag_s: float) -> bool:
+    """Return whether an event explains it; the request may have been recorded `lag_s` after it was sent."""
     if event.kind == ProcessEventKind.KILL:
-        return request.sent_s - KILL_BEFORE_REQUEST_S <= event.at_s <= request.ended_s + KILL_AFTER_RESPONSE_S
+        return request.sent_s - KILL_BEFORE_REQUEST_S - lag_s <= event.at_s <= request.ended_s + KILL_AFTER_RESPONSE_S
     if event.kind != ProcessEventKind.TERMINATE or request.sent_s >= event.at_s + REPLACED_AFTER_TERMINATE_S:
         return False
     if event.at_s + RESPONSES_AFTER_TERMINATE_S < request.sent_s and request.end in (End.CLOSED, End.SILENT):
--- a/garnetusher/lab/soak/oracle.py
+++ b/garnetusher/lab/soak/oracle.py
@@ -136,6 +136,8 @@
         """Check that the sidecar never gives up a response whose head came in time and whose upstream still writes."""
         if request.disconnected_s or request.end is End.SERVED or self._allowances.allows_missing_response(request):
             return
+        if self._was_reset_by_upstream(request):
+            return  # its other responses had lost against the one that was passed on
         for attempt in self._timed_attempts(request):
             after_s = attempt.cut_s - attempt.late_head_s
             if self._allowances.ended_at(attempt.sidecar, attempt.cut_s):
@@ -144,6 +146,14 @@
                 text = f"{request.request_id}: {request.end}; its response was cut off {after_s:.3f} s after the head"
                 self._report(Rule.CUT, attempt.cut_s, text)
 
+    def _was_reset_by_upstream(self, request: Request) -> bool:
+        """Return whether a response broke at its client when the upstream reset one whose head had come."""
+        slack_s = CUT_SLACK_S + self._allowances.recording_slack_s(request.ended_s)
+        return request.end is End.BROKEN and any(
+            attempt.reset_s and abs(request.ended_s - attempt.reset_s) <= slack_s
+            for attempt in self._attempts[request.request_id]
+        )
+
     def _check_body(self, request: Request) -> None:
         if request.foreign_body:
             text = f"{request.request_id}: the response has the body {request.foreign_body!r}"
@@ -170,7 +180,7 @@
             self._report(Rule.DUPLICATE, executed[1].first_byte_s, text)
         if request_class.effect == "deduplicated":
             for repeated in executed[1:]:
-                self._check_deduplication(request_class, executed[0], repeated)
+                self._check_deduplication(request, request_class, executed[0], repeated)
         before_repeat = [attempt for attempt in executed if not _is_of_repeat(request, attempt)]
         if before_repeat and not is_repeatable_anywhere(request_class) and request.end is End.REFUSED:
             self._report(Rule.DUPLICATE, request.ended_s, f"{request.request_id}: shed after an upstream had run it")
@@ -184,12 +194,14 @@
         last_start_s = self._allowances.last_start_s(request.sidecar, request.repeated_s + READY_S)
         return last_start_s is not None and last_start_s > request.sent_s
 
-    def _check_deduplication(self, request_class: RequestClass, first: Attempt, repeated: Attempt) -> None:
+    def _check_deduplication(
+        self, request: Request, request_class: RequestClass, first: Attempt, repeated: Attempt
+    ) -> None:
         """Check that a repeated attempt reaches an upstream that still recognizes the request as a duplicate.
 
         Upstreams do so within the deduplication window, and within the scope (`group`) of the request class.
         """
-        after_s = repeated.first_byte_s - first.first_byte_s
+        after_s = _latest_write_s(request, repeated) - first.first_byte_s
         window_ms = self._plan.deduplication_window_ms
         have_known_times = not self._allowances.was_frozen(first) and not self._allowances.was_frozen(repeated)
         if have_known_times and after_s > window_ms / 1000 + DEDUPLICATION_SLACK_S:
@@ -315,6 +327,17 @@
                 self._report(Rule.LOG, 0.0, f"{log.parent.name}: {line[:LOG_LINE_LENGTH]}")
 
 
+def _latest_write_s(request: Request, attempt: Attempt) -> float:
+    """Return the latest time at which the sidecar can have written the first byte of an attempt.
+
+    The first byte of one that waited in the backlog is recorded when the upstream accepts its connection. It was
+    written while there was as much time to the deadline as the attempt announces.
+    """
+    if not attempt.queued:
+        return attempt.first_byte_s
+    return min(attempt.first_byte_s, request.sent_s + request.deadline_s - attempt.announced_remaining_s)
+
+
 def _is_of_repeat(request: Request, attempt: Attempt) -> bool:
     """Return whether an attempt may belong to the repeat that the client sent under the same id."""
     return bool(request.repeated_s) and attempt.first_byte_s >= request.repeated_s
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -223,7 +223,9 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._late_attempt = None
+        if self._late_attempt is not None:
+            self._late_attempt.reset_s = now_s()
+            self._late_attempt = None
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -198,6 +198,30 @@
     assert broken_rules(shed, ATTEMPT) == {"duplicate"}
 
 
+def test_oracle_allows_the_cut_of_another_response_only_if_an_upstream_reset_the_one_that_was_passed_on() -> None:
+    broken = with_request(class_name="read", end=End.BROKEN, ended_s=10.9)
+    loser = with_attempt(first_byte_s=10.1, late_head_s=10.1, cut_s=10.4, upstream=1)
+    for reset_s, expected in ((10.89, set()), (10.5, {"cut"}), (0.0, {"cut"})):
+        assert broken_rules(broken, with_attempt(late_head_s=10.1, reset_s=reset_s), loser) == expected
+    reset = with_attempt(late_head_s=10.1, reset_s=10.89)
+    assert broken_rules(with_request(class_name="read", end=End.REFUSED, ended_s=10.9), reset, loser) == {"cut"}
+
+
+def test_oracle_judges_a_repeat_that_waited_in_a_backlog_by_the_latest_time_at_which_it_was_written() -> None:
+    mark = with_request(class_name="mark", deadline_s=9.0)
+    for remaining_s, expected in ((8.0, set()), (6.0, {"duplicate"})):
+        repeated = with_attempt(first_byte_s=13.0, queued=True, announced_remaining_s=remaining_s)
+        assert broken_rules(mark, ATTEMPT, repeated) == expected
+
+
+def test_oracle_allows_for_a_lag_between_a_kill_and_the_record_of_a_request() -> None:
+    request = with_request(end=End.CLOSED, ended_s=10.0)
+    kill = ProcessEvent(0, ProcessEventKind.KILL, 9.63)
+    for lags, expected in (([], {"lost"}), ([Lag(10.0, 0.3)], set())):
+        records = Records({request.request_id: request}, process_events=[kill], lags=lags)
+        assert {breach.rule.value for breach in Oracle(small_plan(), records, []).check()} == expected
+
+
 def test_pressure_leaves_the_other_faults_of_a_seed_unchanged_at_the_least_memory() -> None:
     plan = plans.draw(6)
     extended = plans.add_pressure(plan)
