Count lags of the recording process that follow each other at once as one

Trace: two attempts to two upstreams, announced 63 ms apart, were recorded 0.05 ms apart, and the answer 2 ms later: the recording process was late with all three. Its lags were not kept. It takes several iterations of the loop from an accept to the first bytes, and only the largest single lag was allowed for.

Change: adjacent lags (30 ms apart at most) are joined; a failed run writes its lags to records.txt. No bound changed.

--- a/garnetusher/lab/soak/allowances.py
+++ b/garnetusher/lab/soak/allowances.py
@@ -8,11 +8,12 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from garnetusher.lab.soak.records import Attempt, End, ProcessEvent, ProcessEventKind, Records, Request
+from garnetusher.lab.soak.records import Attempt, End, Lag, ProcessEvent, ProcessEventKind, Records, Request
 
 ALLOWED_STALL_S = 0.15  # a sidecar may stall this long between reading the clock and writing
 THAW_S = 0.2  # bytes that are read up to this long after the end of a freeze may have arrived during it
 PAUSE_MARGIN_S = 0.05  # a pause still explains a delay that is recorded this long after the pause
+MAX_LAG_GAP_S = 0.03  # lags are sampled every 10 ms, and those below 20 ms are not recorded
 RECORDING_DELAY_S = 0.06  # a record may be this late without a measured lag, because one process makes all records
 NEW_CONNECTIONS_AFTER_TERMINATE_S = 0.45  # a terminating sidecar accepts for up to 0.4 s and then closes its listener
 # SIGKILL follows SIGTERM after the longest deadline plus 0.7 s (`KILL_GAP_S` in sidecar_process.py), so it may cut off
@@ -44,7 +45,7 @@
     """The pauses, process ends and recording lags of one run."""
 
     def __init__(self, records: Records) -> None:
-        self._lags = records.lags
+        self._lags = _join_adjacent(records.lags)
         self._events: dict[int, list[ProcessEvent]] = defaultdict(list)
         for event in records.process_events:
             self._events[event.sidecar].append(event)
@@ -53,7 +54,8 @@
     def recording_slack_s(self, recorded_s: float) -> float:
         """Return by how many seconds a record with a given time may be late.
 
-        A lag counts if it covers the time or ended shortly before it.
+        A lag counts if it covers the time or ended shortly before it. Lags that follow each other at once count as one,
+        as the first bytes of a new connection are read several iterations of the event loop after its accept.
         """
         durations = [
             lag.duration_s
@@ -123,6 +125,18 @@
         return starts_s[-1] if starts_s else None
 
 
+def _join_adjacent(lags: list[Lag]) -> list[Lag]:
+    joined: list[Lag] = []
+    for lag in sorted(lags, key=lambda each: each.ended_s):
+        started_s = lag.ended_s - lag.duration_s
+        if joined and started_s <= joined[-1].ended_s + MAX_LAG_GAP_S:
+            started_s = min(started_s, joined[-1].ended_s - joined[-1].duration_s)
+            joined[-1] = Lag(lag.ended_s, lag.ended_s - started_s)
+        else:
+            joined.append(lag)
+    return joined
+
+
 def _pauses(events: list[ProcessEvent]) -> list[Pause]:
     pauses: list[Pause] = []
     start_s: float | None = None
--- a/garnetusher/lab/soak/run.py
+++ b/garnetusher/lab/soak/run.py
@@ -229,7 +229,7 @@
 
 
 def _write_records(records: Records, folder: Path) -> None:
-    entries = (*records.requests.values(), *records.attempts, *records.endpoint_changes)
+    entries = (*records.requests.values(), *records.attempts, *records.endpoint_changes, *records.lags)
     (folder / "records.txt").write_text("\n".join(repr(entry) for entry in entries) + "\n")
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -172,6 +172,13 @@
         assert {breach.rule.value for breach in Oracle(small_plan(), records, []).check()} == expected
 
 
+@pytest.mark.parametrize(("gap_s", "expected"), [(0.01, set()), (0.1, {"told"})])
+def test_oracle_joins_lags_that_follow_each_other_at_once(gap_s: float, expected: set[str]) -> None:
+    lags = [Lag(10.25, 0.2), Lag(10.25 + gap_s + 0.25, 0.25)]
+    records = Records({REQUEST.request_id: REQUEST}, [with_attempt(first_byte_s=10.5)], lags=lags)
+    assert {breach.rule.value for breach in Oracle(small_plan(), records, []).check()} == expected
+
+
 def test_oracle_reports_a_response_that_is_cut_off_between_its_head_and_its_late_body() -> None:
     late = with_attempt(late_head_s=10.1)
     served = with_request(end=End.SERVED, ended_s=12.5)
