Begin no long response to a request that came late after SIGTERM

Cause: `finish_by` gives each request a final time before SIGKILL, and the shutdown took that for a bound on all work. A streamed response has none: `begin_streaming` cancels the timers of its request. So whatever came late and proved long had no end before SIGKILL. That resting connections stayed open up to 1 s before SIGKILL is one way in; heads, bodies and kept-alive responses that end late are others.

Change: `closing_schedule.py` decides, as a pure function of ending, time and state, when connections close and what a request that is complete now may receive. From 0.7 s on nothing is streamed: a request that may run twice gets a response that fits into the buffer, or 503; one that may not is refused before it is forwarded. Resting connections close 0.5 s after SIGTERM in a replacement, in place of 1.7 s, and a connection has 50 ms for its next request in both endings. `shutdown.py` only applies the schedule. Late requests are in the trace with their reason; closes that crossed a request are counted; responses that SIGKILL would cut are logged.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from garnetusher.sidecar.clock import monotonic_us
+from garnetusher.sidecar.closing_schedule import RESTART_RETRY_AFTER_US, Admission
 from garnetusher.sidecar.downstream.arrival_time import ArrivalTimes
 from garnetusher.sidecar.downstream.errors import RequestRejected
 from garnetusher.sidecar.downstream.lingering_close import LingeringClose
@@ -16,7 +17,7 @@
 from garnetusher.sidecar.downstream.response_writer import ResponseWriter, content_type_header, retry_after_header
 from garnetusher.sidecar.memory_budget import CONNECTION_SIZE, MemoryHolding, growing_buffer_size
 from garnetusher.sidecar.requests.messages import RESPONSE_MARGIN_US, Disposition, FinalResponse
-from garnetusher.sidecar.requests.trace import EventName
+from garnetusher.sidecar.requests.trace import NO_REQUEST, EventName
 from garnetusher.sidecar.sockets import ShortageTolerantSocket
 from garnetusher.sidecar.streaming import (
     STALL_TIMEOUT_US,
@@ -26,7 +27,7 @@
     Source,
     Upload,
 )
-from garnetusher.sidecar.transitions import ClientCloseReason
+from garnetusher.sidecar.transitions import ClientCloseReason, LateRequest
 
 if TYPE_CHECKING:
     from garnetusher.sidecar.downstream.server import DownstreamServer
@@ -35,10 +36,10 @@
 
 CHECK_INTERVAL_S = 0.1  # interval between time-out checks of all connections
 BODY_MEMORY_TIMEOUT_US = 5_000_000  # maximum wait for free memory for a long body
-RESTART_RETRY_AFTER_US = 1_000_000  # time within which a new process replaces one that is stopping
 MAX_HIDDEN_CLOSE_US = 50_000  # half the time after a close within which an attempt may begin
 MIN_HIDING_SIZE = 32 * 1024  # with fewer unread bytes, the receive buffer has room for the end of the input
 EMPTY_LINE = b"\r\n"
+CROSSED_CLOSES = "closes of idle connections that crossed a request"  # the name of a counter
 FORCED_CLOSES = "closes of connections that did not wait for the client"  # the name of a counter
 
 
@@ -87,6 +88,7 @@
         self._request_id = 0  # the dispatcher's identifier of the current request
         self._close_reason: ClientCloseReason | None = None  # set once it closes after the current response
         self._is_close_recorded = False
+        self._is_closed_idle = False  # whether the sidecar closed the connection while no request was open
         self._lingering_close = LingeringClose(self.writer)
         self._client_half_closed = False  # the client has closed its sending side
         self._has_body_memory = False  # whether the body has a place in the body memory
@@ -113,6 +115,11 @@
             self.has_open_request or self.closing or self.reader.complete or self.writer.source is not None
         )
 
+    @property
+    def is_sending_response(self) -> bool:
+        """Whether a response is being streamed to the client, or not all bytes of one are sent."""
+        return self.writer.source is not None or bool(self.writer.unsent_size)
+
     def shedding_order(self) -> tuple[bool, int]:
         """Return the key that sorts connections by the order in which their incomplete requests are shed."""
         return self.has_sent_valid_request, self.reader.message_started_us
@@ -149,6 +156,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the server and cancel its request."""
         self._record_close(ClientCloseReason.CLIENT_CLOSED if exc is None else ClientCloseReason.RESET)
+        if self._is_closed_idle and self._has_unread_bytes():
+            self.server.trace.count(CROSSED_CLOSES)
         self.server.connections.pop(self, None)
         self._drop_request()
         self.reader.release()
@@ -265,6 +274,7 @@
         if self.server.memory.exceeded:
             self._refuse_complete_request()
             return
+        http_request.admission = self.server.admission(http_request)
         http_request.arrived_us = self.arrival_times.arrived_us
         http_request.body = self.reader.take_body()
         self.reader.release_head()
@@ -286,6 +296,7 @@
         except RequestRejected as rejection:
             self._reject_with_reason(rejection)
             return
+        http_request.admission = self.server.admission(http_request)
         http_request.upload = self.reader.upload
         http_request.arrived_us = monotonic_us()
         self.reader.release_head()
@@ -293,6 +304,17 @@
         self.has_sent_valid_request = True
         self._request_id = self.server.dispatcher.on_request(http_request, self, body_complete=False)
 
+    def limit_incomplete_request(self) -> None:
+        """Apply the schedule of the shutdown to a request whose head is complete and whose body is not."""
+        http_request = self.reader.http_request
+        if http_request is None or self.reader.complete or self.closing or self.writer.source is not None:
+            return
+        http_request.admission = self.server.admission(http_request)
+        if http_request.admission is Admission.REFUSAL:
+            request_id = self._request_id if self.has_open_request else NO_REQUEST
+            self.server.trace.record_late_request(request_id, LateRequest.NOT_REPEATABLE)
+            self.shed_incomplete_request(ClientCloseReason.SHUTDOWN, self.server.retry_after_us)
+
     def _finish_upload(self, upload: Upload) -> None:
         arrived_us = self.arrival_times.arrived_us  # a response during `finish` resets this time
         upload.finish()
@@ -558,6 +580,7 @@
         if not self.server.dispatcher.write_gate.may_close(self._request_id, carries_request):
             return
         self._record_close(reason)
+        self._is_closed_idle = True
         self.state = ConnectionState.CLOSING
         self.transport.close()
 
--- a/garnetusher/sidecar/downstream/server.py
+++ b/garnetusher/sidecar/downstream/server.py
@@ -8,6 +8,7 @@
 
 from garnetusher.policy.settings import Settings
 from garnetusher.sidecar.clock import monotonic_us
+from garnetusher.sidecar.closing_schedule import RESTART_RETRY_AFTER_US, Admission, ClosingSchedule
 from garnetusher.sidecar.downstream.arrival_time import EventLoopLag
 from garnetusher.sidecar.downstream.connection import CHECK_INTERVAL_S, ConnectionState, DownstreamConnection
 from garnetusher.sidecar.downstream.listener import Listener, open_listening_socket
@@ -16,6 +17,7 @@
 from garnetusher.sidecar.memory_budget import RELIEF_FRACTION, MemoryBudget
 from garnetusher.sidecar.read_pacing import PacedConnections
 from garnetusher.sidecar.requests.dispatcher import RequestDispatcher
+from garnetusher.sidecar.requests.messages import HttpRequest
 from garnetusher.sidecar.requests.trace import Trace
 from garnetusher.sidecar.streaming import BodyMemory
 from garnetusher.sidecar.transitions import ClientCloseReason
@@ -23,8 +25,6 @@
 LISTEN_BACKLOG = 512  # maximum number of connections waiting to be accepted
 LISTEN_RETRY_TIMEOUT_S = 10.0  # time for the address to become free; clients wait 30 s at startup
 BACKLOG_DRAIN_TIMEOUT_S = 1.0  # time limit to accept the backlog at shutdown; about a third of the time to respond
-DRAIN_IDLE_CLOSE_DELAY_S = 1.5  # delay from the start of a drain; all idle connections must close within 4 s
-MIN_IDLE_US = 300_000  # minimum idle time before a close, because a request may be in transit
 BODY_MEMORY_DIVISOR = 2  # the part of the memory budget that bodies beyond the buffer limit may use
 
 
@@ -40,6 +40,7 @@
         body_memory: Limits the memory for bodies that exceed the buffer limit.
         paced_connections: The connections whose reading is paused because their bytes are costly.
         event_loop_lag: Estimates the earliest time at which bytes that are read now may have arrived.
+        shutdown_schedule: The schedule of the shutdown; None before SIGTERM.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.router = RequestRouter(settings)
         self.connections: dict[DownstreamConnection, None] = {}
         self.event_loop_lag = EventLoopLag()
+        self.shutdown_schedule: ClosingSchedule | None = None
         self._max_connections = max_connections
         self._listener: Listener | None = None
         self._is_relieving_memory = False
@@ -84,6 +86,20 @@
         """Whether any connection has an open request or unsent response bytes."""
         return any(each.has_open_request or each.writer.unsent_size for each in self.connections)
 
+    @property
+    def retry_after_us(self) -> int:
+        """The delay after which the client of a request that is shed may retry."""
+        return RESTART_RETRY_AFTER_US if self.shutdown_schedule is None else self.shutdown_schedule.retry_after_us
+
+    def admission(self, http_request: HttpRequest) -> Admission:
+        """Return what a request whose last byte is read now may receive."""
+        if self.shutdown_schedule is None:
+            return Admission.ANY_RESPONSE
+        request_class = self.dispatcher.settings.classes[http_request.class_index]
+        return self.shutdown_schedule.admission(
+            self.lifecycle.closing_for_s, is_repeatable=request_class.is_repeatable_anywhere
+        )
+
     async def listen(self, address_or_socket: tuple[str, int] | socket.socket) -> None:
         """Start accepting connections and checking time-outs.
 
@@ -163,25 +179,26 @@
         loop.call_soon(loop.call_soon, self.event_loop_lag.record_check, now_us, int(CHECK_INTERVAL_S * 1e6))
         for connection in list(self.connections):
             connection.check_timeouts(now_us)
-        draining = self.lifecycle.state is LifecycleState.DRAINING
-        if draining and self.lifecycle.closing_for_s > DRAIN_IDLE_CLOSE_DELAY_S:
-            self.close_idle(now_us - MIN_IDLE_US)
-
-    def close_idle(self, idle_since_us: int) -> None:
-        """Close all connections that have been idle since a given time or longer.
-
-        Connections without a valid request stay open for the minimum idle time: their first request may be in transit,
-        and clients do not retry that request.
+        if self.lifecycle.state is LifecycleState.DRAINING:
+            self.close_idle()
 
-        Args:
-            idle_since_us: The limit; connections that became idle later stay open.
-        """
-        new_idle_since_us = min(idle_since_us, monotonic_us() - MIN_IDLE_US)
+    def close_idle(self) -> None:
+        """Close the idle connections that the schedule of the shutdown or of the drain closes now."""
+        schedule = self.shutdown_schedule or ClosingSchedule.for_drain()
+        elapsed_s, now_us = self.lifecycle.closing_for_s, monotonic_us()
         for connection in list(self.connections):
-            limit_us = idle_since_us if connection.has_sent_valid_request else new_idle_since_us
-            if connection.idle and connection.idle_since_us <= limit_us:
+            if connection.idle and schedule.closes_idle(
+                elapsed_s,
+                (now_us - connection.idle_since_us) / 1e6,
+                has_sent_valid_request=connection.has_sent_valid_request,
+            ):
                 connection.schedule_close(self.closing_reason)
 
+    def limit_incomplete_requests(self) -> None:
+        """Apply the schedule to requests whose bodies are still arriving and end too late."""
+        for connection in list(self.connections):
+            connection.limit_incomplete_request()
+
     def _relieve_memory(self) -> None:
         """Shed requests that are still being read until they hold what they may hold.
 
@@ -209,4 +226,4 @@
         for connection in list(self.connections):
             reading = connection.reader.message_started_us and not connection.reader.complete
             if reading and not connection.closing and connection.writer.source is None:
-                connection.shed_incomplete_request(ClientCloseReason.SHUTDOWN)
+                connection.shed_incomplete_request(ClientCloseReason.SHUTDOWN, self.retry_after_us)
--- a/garnetusher/sidecar/lifecycle.py
+++ b/garnetusher/sidecar/lifecycle.py
@@ -98,11 +98,13 @@
             self._stopping_since_s = self._clock() - signal_age_s
             self._report_state()
 
-    def report(self, transition: LifecycleTransition) -> None:
-        """Report a state or a step of the shutdown, unless it was the last one that was reported."""
-        if transition is not self._last_transition:
-            self._last_transition = transition
-            self._on_transition(transition)
+    def report(self, transition: LifecycleTransition) -> bool:
+        """Report a state or a step of the shutdown; return False if it was the last one that was reported."""
+        if transition is self._last_transition:
+            return False
+        self._last_transition = transition
+        self._on_transition(transition)
+        return True
 
     def _report_state(self) -> None:
         if self.state is not self._reported_state:
--- a/garnetusher/sidecar/requests/dispatcher.py
+++ b/garnetusher/sidecar/requests/dispatcher.py
@@ -42,6 +42,7 @@
 )
 from garnetusher.policy.settings import Settings, previous_indexes
 from garnetusher.sidecar.clock import monotonic_us
+from garnetusher.sidecar.closing_schedule import Admission
 from garnetusher.sidecar.memory_budget import MemoryBudget
 from garnetusher.sidecar.requests.attempts import AttemptController
 from garnetusher.sidecar.requests.deadlines import Deadlines
@@ -63,7 +64,7 @@
 from garnetusher.sidecar.requests.trace import NO_ENDPOINT, EventName, Trace
 from garnetusher.sidecar.requests.write_gate import WriteGate
 from garnetusher.sidecar.streaming import Head, Sink, Source
-from garnetusher.sidecar.transitions import UpstreamCloseReason
+from garnetusher.sidecar.transitions import LateRequest, UpstreamCloseReason
 
 log = logging.getLogger(__name__)
 
@@ -98,6 +99,7 @@
         self._request_ids = RequestIds(memory, monotonic_us(), shared_ids)
         self._request_ids.apply_window(settings.longest_deduplication_window_us)
         self._last_request_id = 0
+        self._shutdown_retry_after_us = 0
         self._events: deque[Event] = deque()
         self._dispatching = False
         self._endpoints = ReadyEndpoints()
@@ -131,8 +133,14 @@
             )
         )
 
-    def finish_by(self, at_us: int) -> None:
-        """Respond to every request by the time at which this process ends, even if the client would wait longer."""
+    def finish_by(self, at_us: int, retry_after_us: int) -> None:
+        """Respond to every request by the time at which this process ends, even if the client would wait longer.
+
+        Args:
+            at_us: the time by which all requests have their responses.
+            retry_after_us: the delay after which the clients of requests that came too late may retry.
+        """
+        self._shutdown_retry_after_us = retry_after_us
         self._deadlines.process_deadline_us = at_us
         for request in self._requests.snapshot():
             if request.body_complete and request.is_response_awaited and request.deadline_us > at_us:
@@ -159,13 +167,24 @@
         """
         self._last_request_id += 1
         self.trace.record_event(EventName.RECEIVED, self._last_request_id, reason=http_request.client_request_id)
-        refusal = self._claim_id(http_request)
+        refusal = self._late_refusal(http_request) or self._claim_id(http_request)
         if refusal is None:
             self._accept(http_request, response_sink, body_complete=body_complete)
         else:
             self._refuse(refusal, response_sink)
         return self._last_request_id
 
+    def _late_refusal(self, http_request: HttpRequest) -> FinalResponse | None:
+        """Return the refusal of a request that came too late after SIGTERM to be forwarded."""
+        if http_request.admission is not Admission.REFUSAL:
+            return None
+        self.trace.record_late_request(self._last_request_id, LateRequest.NOT_REPEATABLE)
+        return self._shutdown_refusal()
+
+    def _shutdown_refusal(self) -> FinalResponse:
+        retry_after_us = min(self._shutdown_retry_after_us, self._max_retry_after_us)
+        return FinalResponse(Disposition.SHED, retry_after_us=retry_after_us)
+
     def _claim_id(self, http_request: HttpRequest) -> FinalResponse | None:
         """Claim the id of a request that may not run twice; return the response to one that may not be forwarded."""
         request_class = self.settings.classes[http_request.class_index]
@@ -329,11 +348,22 @@
         attempt = request.attempts[attempt_index]
         if attempt.ended or not request.is_response_awaited:
             return None
+        if request.http_request.admission is not Admission.ANY_RESPONSE:
+            self._refuse_long_response(request)
+            return None
         self._responses.begin_streaming(request, attempt_index, head, source)
         elapsed_us = monotonic_us() - attempt.started_us
         self._dispatch_event(ResponseStarted(request.request_id, attempt_index, attempt.endpoint_id, elapsed_us))
         return request.response_sink
 
+    def _refuse_long_response(self, request: PendingRequest) -> None:
+        """Refuse a request whose response would be streamed when SIGKILL comes."""
+        self.trace.record_late_request(request.request_id, LateRequest.LONG_RESPONSE)
+        may_shed = self.write_gate.may_shed(request)
+        self._responses.respond(request, self._shutdown_refusal() if may_shed else FinalResponse(Disposition.FAILED))
+        # The client is still connected; this event also tells the policy that it needs to give no final answer
+        self._dispatch_event(ClientDisconnected(request.request_id))
+
     def on_attempt_ended(self, request: PendingRequest, attempt_index: int, result: AttemptResult) -> None:
         """Handle the end of an attempt: send the response if it succeeded, and notify the policy."""
         succeeded = result.outcome is Outcome.OK
--- a/garnetusher/sidecar/requests/messages.py
+++ b/garnetusher/sidecar/requests/messages.py
@@ -10,6 +10,7 @@
 
 from garnetusher.policy.events import Outcome
 from garnetusher.policy.settings import RequestClass
+from garnetusher.sidecar.closing_schedule import Admission
 from garnetusher.sidecar.requests.endpoints import Address, ReadyEndpoint
 from garnetusher.sidecar.streaming import Head, Sink, Source, Upload
 from garnetusher.sidecar.transitions import UpstreamCloseReason
@@ -38,6 +39,7 @@
         client_retry: whether the client marked the request as a retry.
         client_request_id: the client's `X-Request-Id`.
         upload: the streamed body, if it is too long for the buffer; else None.
+        admission: what the request may receive, which a shutdown limits.
     """
 
     method: bytes
@@ -53,6 +55,7 @@
     client_retry: bool = False
     client_request_id: str = ""
     upload: Upload | None = None
+    admission: Admission = Admission.ANY_RESPONSE
 
     @property
     def held_size(self) -> int:
--- a/garnetusher/sidecar/requests/trace.py
+++ b/garnetusher/sidecar/requests/trace.py
@@ -14,7 +14,13 @@
 from typing import NamedTuple
 
 from garnetusher.sidecar.clock import monotonic_us
-from garnetusher.sidecar.transitions import ClientCloseReason, LifecycleTransition, UpstreamCloseReason, WatchTransition
+from garnetusher.sidecar.transitions import (
+    ClientCloseReason,
+    LateRequest,
+    LifecycleTransition,
+    UpstreamCloseReason,
+    WatchTransition,
+)
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +45,7 @@
     DENIED = "denied"
     WRITTEN = "written"
     ENDED = "ended"
+    LATE = "late after SIGTERM"
     ANSWERED = "answered"
     CLIENT_DISCONNECTED = "client gone"
     CLIENT_HALF_CLOSED = "client sends no more"
@@ -140,6 +147,11 @@
         }
         return [event for event in self.events if event.request_id in request_ids]
 
+    def record_late_request(self, request_id: int, reason: LateRequest) -> None:
+        """Record that a request which came late after SIGTERM is refused."""
+        self.record_event(EventName.LATE, request_id, reason=reason)
+        self.count(f"{EventName.LATE}: {reason}")
+
     def record_violation(
         self, rule: str, request_id: int, attempt_index: int = NO_ATTEMPT, endpoint_id: int = NO_ENDPOINT
     ) -> None:
--- a/garnetusher/sidecar/service.py
+++ b/garnetusher/sidecar/service.py
@@ -11,7 +11,6 @@
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.configuration import Configuration
 from garnetusher.sidecar.reload import Reloader
-from garnetusher.sidecar.shutdown import ShutdownSchedule
 from garnetusher.sidecar.sidecar import Sidecar
 
 
@@ -68,15 +67,10 @@
     await server.listen(inherited or configuration.listen)
     await stopping
 
-    schedule = ShutdownSchedule.for_classes(server.dispatcher.settings.classes)
-    shutdown.announce_deadline(server, schedule)
-    if members is not None:
-        await members.leave()
-    if inherited is None:
-        await shutdown.drain_without_successor(server)
-    else:
-        await shutdown.drain_with_successor(server, schedule)
-    await shutdown.finish_requests(server, schedule)
+    leaving = None if members is None else asyncio.create_task(members.leave())
+    await shutdown.shut_down(server, has_successor=inherited is not None)
+    if leaving is not None:
+        await leaving
 
 
 async def _wait_for_stop(sidecar: Sidecar, stop: asyncio.Event) -> None:
--- a/garnetusher/sidecar/transitions.py
+++ b/garnetusher/sidecar/transitions.py
@@ -64,6 +64,13 @@
     SHUTDOWN = "shutdown"
 
 
+class LateRequest(enum.StrEnum):
+    """Why a request that came late after SIGTERM was refused; SIGKILL could cut its response off."""
+
+    NOT_REPEATABLE = "may not run twice"  # it was refused before it could run
+    LONG_RESPONSE = "long response"  # the response would have been streamed
+
+
 class UpstreamCloseReason(enum.StrEnum):
     """Why an established connection to an upstream was closed; the first reason counts."""
 
--- a/garnetusher/sidecar/upstream/connection.py
+++ b/garnetusher/sidecar/upstream/connection.py
@@ -10,6 +10,7 @@
 from garnetusher.errors import GarnetusherError
 from garnetusher.policy.events import Outcome
 from garnetusher.sidecar.clock import monotonic_us
+from garnetusher.sidecar.closing_schedule import Admission
 from garnetusher.sidecar.memory_budget import CONNECTION_SIZE, MemoryHolding, growing_buffer_size
 from garnetusher.sidecar.read_pacing import ReadPacer
 from garnetusher.sidecar.requests.messages import AttemptResult
@@ -302,7 +303,8 @@
     def begin_response(self) -> bool:
         """Stream a successful response of unknown length from now on, even if none of its body has arrived.
 
-        Its head came in time, and the rest may be long and slow: no timeout may end it.
+        Its head came in time, and the rest may be long and slow: no timeout may end it. A request that may only have a
+        whole response is an exception.
 
         Returns:
             Whether the response is streamed now. False if there is no such response, or if it can't be streamed; the
@@ -310,6 +312,8 @@
         """
         if not self.response_reader.is_buffering_body_of_unknown_length:
             return False
+        if self.attempt is not None and self.attempt.request.admission is not Admission.ANY_RESPONSE:
+            return False
         self._start_streaming()
         return self.response_reader.sink is not None
 
