Catch a change of the protocol at the watch, the upstreams and the admin address

What was seen: a response 101 of discovery or of an upstream, and a call to the admin address that offers an upgrade, ended the connection through the event loop's `Fatal error`, with a traceback in the log and the wrong reason in the trace.

Cause: httptools reports it by HttpParserUpgrade, which is no HttpParserError; three of the four calls into the parser caught only the latter.

The clients' reader handled it before.

--- a/garnetusher/sidecar/admin/server.py
+++ b/garnetusher/sidecar/admin/server.py
@@ -57,6 +57,8 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return  # the offer to change the protocol is ignored, and the request has its response
         except httptools.HttpParserError:
             self._respond(AdminResponse(HTTPStatus.BAD_REQUEST, "malformed request"))
         if self._received_bytes > MAX_REQUEST_BYTES:
--- a/garnetusher/sidecar/discovery/watch.py
+++ b/garnetusher/sidecar/discovery/watch.py
@@ -92,7 +92,7 @@
             self._watcher.record(WatchTransition.STREAMING)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._end_after_messages(WatchTransition.MALFORMED)
             log.warning("closing the watch: the response of discovery is malformed: %r", error)
         self._take_body()
--- a/garnetusher/sidecar/upstream/response_reader.py
+++ b/garnetusher/sidecar/upstream/response_reader.py
@@ -182,7 +182,7 @@
         self.calls = 0
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._set_unusable(self._error_reason(error))  # the following bytes could be taken for the next response
         self._unreported_size = 0 if self.calls else self._unreported_size + len(data)
         self._pass_on_body()
@@ -193,7 +193,7 @@
             data, self.body = bytes(self.body), bytearray()
             self.sink.write_chunk(data)
 
-    def _error_reason(self, error: httptools.HttpParserError) -> UpstreamCloseReason:
+    def _error_reason(self, error: Exception) -> UpstreamCloseReason:
         """Return what an error of the parser, or of one of its callbacks, says about the received bytes."""
         if isinstance(error.__context__, ResponseTooLargeError):
             return UpstreamCloseReason.RESPONSE_TOO_LARGE
