Keep new connections open for half a second after SIGTERM at a restart, too

Cause: the schedule closed connections without a valid request once they were unused for 0.3 s from SIGTERM on.

Change: in both endings such connections close from 0.5 s on, if unused for 0.3 s. A first request after 0.7 s is late and gets no long response.

Result: tests/test_closing_schedule.py enumerates it; the expectation that unused connections stay open for 0.5 s failed before for restarts.

--- a/garnetusher/sidecar/closing_schedule.py
+++ b/garnetusher/sidecar/closing_schedule.py
@@ -124,6 +124,8 @@
             return True
         if self.ending is Ending.DRAIN:
             return elapsed_s > DRAIN_IDLE_CLOSE_DELAY_S and idle_s >= MIN_IDLE_S
+        if not has_sent_valid_request:
+            return elapsed_s >= LAST_REQUEST_S and idle_s >= MIN_IDLE_S
         if self.ending is Ending.REPLACEMENT and elapsed_s < LAST_REQUEST_S:
             return False
-        return idle_s >= (MIN_IDLE_BETWEEN_REQUESTS_S if has_sent_valid_request else MIN_IDLE_S)
+        return idle_s >= MIN_IDLE_BETWEEN_REQUESTS_S
--- a/tests/test_closing_schedule.py
+++ b/tests/test_closing_schedule.py
@@ -71,7 +71,7 @@
         ]
         assert closing == [elapsed_s for elapsed_s in times(schedule.kill_s) if elapsed_s >= closing[0]]
         assert closing[0] + MAX_STALL_S < KILL_DELAY_S
-        if ending is Ending.REPLACEMENT:
+        if ending is Ending.REPLACEMENT or not has_sent_valid_request:
             assert closing[0] == pytest.approx(0.5)
 
 
