Play endings with long responses and slow heads in the soak, and measure them

Need: the soak ended processes by SIGTERM and SIGKILL with short responses only, and its oracle excused what it should have caught: a request sent more than 0.7 s after SIGTERM without a response. PROTOCOL says the opposite ("[lost] is whatever SIGKILL finds unanswered, if that request came more than 0.7 s after SIGTERM").

The oracle no longer excuses late requests, and reports each response that the end of a process cut off if its request was late. `garnetusher lab endings` plays takeovers and restarts beside 8, 64 and 300 kept connections and prints what their clients met.

--- a/garnetusher/lab/commands.py
+++ b/garnetusher/lab/commands.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import multiprocessing
 import time
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Annotated
 
@@ -17,7 +19,7 @@
 from garnetusher.lab.run import run_experiment
 from garnetusher.lab.sidecars import LabError
 from garnetusher.lab.soak import campaign as campaigns
-from garnetusher.lab.soak import list_benchmark
+from garnetusher.lab.soak import ending_benchmark, list_benchmark
 from garnetusher.lab.soak import plan as soak_plan
 from garnetusher.lab.soak import run as soak_run
 from garnetusher.lab.soak import size as soak_size
@@ -289,6 +291,38 @@
     raise typer.Exit(cli.SUCCESS if all(row.held for row in rows) else cli.FAILURE)
 
 
+@app.command(epilog="Example: garnetusher lab endings --endings 10 --jobs 3 --out found/endings")
+def endings(
+    count: Annotated[int, typer.Option("--endings", min=1, help="Number of endings in each case.")] = 10,
+    jobs: Annotated[int, typer.Option(min=1, help="Number of cases that run in parallel.")] = 2,
+    match: Annotated[str, typer.Option(help="Run only the cases whose name has this text.")] = "",
+    out: Annotated[Path | None, typer.Option(help="A new folder for logs and figures.")] = None,
+    tree: TreeOption = Path("."),
+) -> None:
+    """Let processes end by takeovers and restarts beside clients that keep connections; print a Markdown table."""
+    folder = (out or Path("found") / f"endings-{time.strftime('%H%M%S')}").resolve()
+    sidecar_processes.build(tree.resolve())
+    cases = [case for case in ending_benchmark.CASES if match in case.name]
+    cli.say(
+        "| case | endings | requests | cut late | cut early | refused | crossed | unread | failed | other breaches |"
+    )
+    cli.say("| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+    rows: list[ending_benchmark.EndingResult] = []
+    with ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        runs = [
+            pool.submit(ending_benchmark.measure, case, count, folder / str(number), tree.resolve())
+            for number, case in enumerate(cases)
+        ]
+        for run in runs:
+            try:
+                rows.append(run.result())
+            except (LabError, OSError) as error:
+                cli.fail(str(error))
+            cli.say(rows[-1].line())
+    (folder / "endings.json").write_bytes(msgspec.json.format(msgspec.json.encode(rows), indent=1) + b"\n")
+    raise typer.Exit(cli.SUCCESS if all(row.held for row in rows) else cli.FAILURE)
+
+
 def _parse_seeds(seeds: str) -> range:
     first, colon, last = seeds.partition(":")
     if not first.isdecimal() or (colon and not last.isdecimal()):
--- a/garnetusher/lab/soak/allowances.py
+++ b/garnetusher/lab/soak/allowances.py
@@ -8,7 +8,16 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from garnetusher.lab.soak.records import Attempt, End, Lag, ProcessEvent, ProcessEventKind, Records, Request
+from garnetusher.lab.soak.records import (
+    TAKEOVER_DETAIL,
+    Attempt,
+    End,
+    Lag,
+    ProcessEvent,
+    ProcessEventKind,
+    Records,
+    Request,
+)
 
 ALLOWED_STALL_S = 0.15  # a sidecar may stall this long between reading the clock and writing
 THAW_S = 0.2  # bytes that are read up to this long after the end of a freeze may have arrived during it
@@ -16,9 +25,10 @@
 MAX_LAG_GAP_S = 0.03  # lags are sampled every 10 ms, and those below 20 ms are not recorded
 RECORDING_DELAY_S = 0.06  # a record may be this late without a measured lag, because one process makes all records
 NEW_CONNECTIONS_AFTER_TERMINATE_S = 0.45  # a terminating sidecar accepts for up to 0.4 s and then closes its listener
-# SIGKILL follows SIGTERM after the longest deadline plus 0.7 s (`KILL_GAP_S` in sidecar_process.py), so it may cut off
-# the response to a request that was sent later than this after SIGTERM.
-RESPONSES_AFTER_TERMINATE_S = 0.7
+# SIGKILL may cut off a response to a request that was sent up to this long after SIGTERM, but not to a later one. It
+# follows SIGTERM after the longest deadline plus this time (`KILL_GAP_S` in sidecar_process.py).
+EXCUSED_AFTER_TERMINATE_S = 0.7
+SIGNAL_AGE_S = 0.15  # a process counts SIGTERM from when it may have come at the earliest: its last time-out check
 REPLACED_AFTER_TERMINATE_S = 5.0  # this long after SIGTERM, a new process has replaced the old one
 KILL_BEFORE_REQUEST_S = 0.3  # a request may be written to a connection whose process was killed this long before
 KILL_AFTER_RESPONSE_S = 0.1  # a kill recorded up to this long after the end of a request may have caused that end
@@ -107,7 +117,45 @@
             if event.kind in (ProcessEventKind.KILL, ProcessEventKind.TERMINATE)
         )
 
-    def ended_at(self, sidecar: int, at_s: float) -> bool:
+    def allows_cut(self, request: Request, cut_s: float) -> bool:
+        """Return whether the end of the process may have cut off the response to a request at about a time.
+
+        The process may not have begun a long response to a request that was sent late after SIGTERM, but refused it.
+        An upstream that reads nothing notices the end of the connection later than the client.
+        """
+        if request.end is End.REFUSED and self._late_ends_s(request, SIGNAL_AGE_S):
+            return True
+        times_s = (cut_s, request.ended_s) if request.end is End.BROKEN else (cut_s,)
+        return any(self._ended_at(request.sidecar, at_s) for at_s in times_s) and not self.was_cut_late(request)
+
+    def was_cut_late(self, request: Request) -> bool:
+        """Return whether the end of the process cut off the response to a request that was sent late after SIGTERM."""
+        slack_s = self.recording_slack_s(request.ended_s)
+        return any(abs(end_s - request.ended_s) <= slack_s for end_s in self._late_ends_s(request))
+
+    def _late_ends_s(self, request: Request, earlier_s: float = 0.0) -> list[float]:
+        """Return the ends of processes that may have received a request late after their SIGTERM.
+
+        Args:
+            request: The request.
+            earlier_s: By how much the process may count its SIGTERM earlier than it was sent.
+        """
+        late_by_s = EXCUSED_AFTER_TERMINATE_S - earlier_s
+        if not earlier_s:
+            late_by_s += self.recording_slack_s(request.sent_s)
+        ends_s: list[float] = []
+        terminate: ProcessEvent | None = None
+        for event in self._events[request.sidecar]:
+            if event.kind == ProcessEventKind.TERMINATE:
+                terminate = event
+            elif event.kind == ProcessEventKind.ENDED and terminate is not None:
+                is_late = terminate.at_s + late_by_s < request.sent_s < event.at_s
+                if is_late and not _was_sent_to_successor(request, terminate):
+                    ends_s.append(event.at_s)
+                terminate = None
+        return ends_s
+
+    def _ended_at(self, sidecar: int, at_s: float) -> bool:
         """Return whether the process ended at about a time, so that the kernel closed its connections then."""
         return any(
             abs(event.at_s - at_s) <= self.recording_slack_s(at_s)
@@ -149,14 +197,19 @@
     return pauses
 
 
+def _was_sent_to_successor(request: Request, terminate: ProcessEvent) -> bool:
+    """Return whether a request was sent to the process that took over, which accepts all new connections."""
+    began_s = request.began_s or request.sent_s
+    return terminate.detail == TAKEOVER_DETAIL and request.new_connection and began_s > terminate.at_s
+
+
 def _explains_missing_response(event: ProcessEvent, request: Request, lag_s: float) -> bool:
     """Return whether an event explains it; the request may have been recorded `lag_s` after it was sent."""
     if event.kind == ProcessEventKind.KILL:
-        return request.sent_s - KILL_BEFORE_REQUEST_S - lag_s <= event.at_s <= request.ended_s + KILL_AFTER_RESPONSE_S
+        began_s = request.began_s or request.sent_s
+        return began_s - KILL_BEFORE_REQUEST_S - lag_s <= event.at_s <= request.ended_s + KILL_AFTER_RESPONSE_S
     if event.kind != ProcessEventKind.TERMINATE or request.sent_s >= event.at_s + REPLACED_AFTER_TERMINATE_S:
         return False
-    if event.at_s + RESPONSES_AFTER_TERMINATE_S < request.sent_s and request.end in (End.CLOSED, End.SILENT):
-        return True
     return (
         request.new_connection
         and request.end is End.CLOSED
--- a/garnetusher/lab/soak/campaign.py
+++ b/garnetusher/lab/soak/campaign.py
@@ -12,7 +12,16 @@
 
 from msgspec import Struct, field
 
-from garnetusher.lab.soak.plan import ALL_FAULTS, Plan, add_list_styles, add_peer_faults, add_pressure, draw, save
+from garnetusher.lab.soak.plan import (
+    ALL_FAULTS,
+    Plan,
+    add_endings,
+    add_list_styles,
+    add_peer_faults,
+    add_pressure,
+    draw,
+    save,
+)
 from garnetusher.lab.soak.reduce import reduce_plan
 from garnetusher.lab.soak.run import RunResult, run_plan
 
@@ -118,7 +127,7 @@
 def draw_soak(seed: int, sidecars: int) -> Plan:
     """Return the plan that a campaign runs for a seed; every second seed also puts the sidecars under pressure."""
     plan = add_peer_faults(draw(seed, sidecars))
-    return add_list_styles(plan if seed % PRESSURE_SEED_DIVISOR else add_pressure(plan))
+    return add_endings(add_list_styles(plan if seed % PRESSURE_SEED_DIVISOR else add_pressure(plan)))
 
 
 def _run_seed(seed: int, sidecars: int, folder: str, tree: str) -> RunResult:
--- a/garnetusher/lab/soak/client.py
+++ b/garnetusher/lab/soak/client.py
@@ -20,7 +20,7 @@
 
 # Clients wait this long after the deadline. A response counts as late for 0.5 s after its deadline, and then as lost.
 RESPONSE_TIMEOUT_S = 0.8
-LATE_BODY_TIMEOUT_S = 5.0  # clients wait this long for a body after its head
+LATE_BODY_TIMEOUT_S = 8.0  # clients wait this long for a body after its head
 MALFORMED_TIMEOUT_S = 4.0  # clients wait longer than the 3 s within which a sidecar has to close a malformed connection
 WRITE_TIMEOUT_S = 10.0  # a client that can't write its whole request by then gives up
 LONG_BODY_BYTES = 150_000
@@ -55,6 +55,9 @@
 SLOW_WRITER_SHARE = 0.5
 SLOW_WRITER_CUTS = 3
 SLOW_WRITER_PAUSE_S = 0.15  # the longest pause between two pieces of a request
+SLOW_HEAD_SHARE = 0.5
+SLOW_HEAD_PAUSE_S = 1.8  # the longest pause within a head; a client may take 2 s for it
+SLOW_HEAD_FIRST_BYTES = 20
 
 
 class TruncatedResponseError(GarnetusherError):
@@ -68,6 +71,11 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the sidecar is known to have closed the connection."""
+        return self.reader.at_eof() or self.writer.transport.is_closing()
+
     def abort(self) -> None:
         """Close at once and discard unsent data."""
         self.writer.transport.abort()
@@ -190,15 +198,18 @@
         body = self._draw_body(request_class, closes=closes)
         is_chunked = len(body) > LONG_BODY_BYTES and self._random.random() < CHUNKED_SHARE
         data = _encode(request_id, request_class, body, closes=closes, is_chunked=is_chunked)
+        pauses_in_head = self._draw_fault(FaultKind.SLOW_HEADS, SLOW_HEAD_SHARE)
+        began_s = now_s() if pauses_in_head else 0.0
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_S):
-                if not await self._write(connection.writer, data):
+                if not await self._write(connection.writer, data, pauses_in_head=pauses_in_head):
                     return None
         except (ConnectionError, TimeoutError):
             connection.abort()
             return None
         deadline_s = request_class.deadline_ms / 1000
         request = Request(request_id, self._sidecar, request_class.name, deadline_s, now_s(), reused is None)
+        request.began_s = began_s
         self._records.requests[request_id] = request
         if self._draw_fault(FaultKind.PIPELINES, PIPELINE_SHARE):
             connection.writer.write(PIPELINED_REQUEST)
@@ -218,14 +229,18 @@
         is_long = self._draw_fault(FaultKind.LONG_BODIES, LONG_BODY_SHARE)
         return b"x" * (LONG_BODY_BYTES if is_long else SHORT_BODY_BYTES)
 
-    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes, *, pauses_in_head: bool) -> bool:
         """Write a request; return whether it was written completely."""
         if self._draw_fault(FaultKind.TRUNCATED_REQUESTS, TRUNCATED_REQUEST_SHARE):
             writer.write(data[: self._random.randrange(1, len(data))])
             await asyncio.sleep(self._random.random())
             writer.transport.abort()
             return False
-        if self._draw_fault(FaultKind.SLOW_WRITERS, SLOW_WRITER_SHARE):
+        if pauses_in_head:
+            writer.write(data[:SLOW_HEAD_FIRST_BYTES])
+            await asyncio.sleep(SLOW_HEAD_PAUSE_S * self._random.random())
+            writer.write(data[SLOW_HEAD_FIRST_BYTES:])
+        elif self._draw_fault(FaultKind.SLOW_WRITERS, SLOW_WRITER_SHARE):
             await self._write_slowly(writer, data)
         else:
             writer.write(data)
--- a/garnetusher/lab/soak/discovery.py
+++ b/garnetusher/lab/soak/discovery.py
@@ -61,6 +61,15 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PendingChange:
+    """A change of an endpoint that an agent does not know yet."""
+
+    upstream: int
+    status: EndpointStatus
+    boot_ms: int
+
+
 class DiscoveryAgent:
     """The discovery agent of one sidecar."""
 
@@ -84,7 +93,7 @@
         # This event is cleared during an outage, in which the agent sends nothing and keeps all changes in `_pending`.
         self._reachable = asyncio.Event()
         self._reachable.set()
-        self._pending: list[ListedEndpoint] = []  # the endpoints that changed during an outage
+        self._pending: list[PendingChange] = []  # the changes of an outage, of which the agent does not know yet
         self._silent_watches: set[asyncio.StreamWriter] = set()
         self._silent_since_s = 0.0
         self._reloaded_s = NEVER_RELOADED_S
@@ -117,13 +126,18 @@
 
     def change(self, upstream: int, status: EndpointStatus, boot_ms: int) -> None:
         """Change an endpoint, and send the change unless there is an outage."""
-        endpoint = self._endpoints[upstream]
-        endpoint.status = status
-        endpoint.boot_ms = boot_ms
+        change = PendingChange(upstream, status, boot_ms)
         if self._reachable.is_set():
-            self._publish(endpoint)
+            self._apply(change)
         else:
-            self._pending.append(endpoint)
+            self._pending.append(change)
+
+    def _apply(self, change: PendingChange) -> EndpointChange:
+        """Change an endpoint, send the change, and return its record."""
+        endpoint = self._endpoints[change.upstream]
+        endpoint.status = change.status
+        endpoint.boot_ms = change.boot_ms
+        return self._publish(endpoint)
 
     def start_outage(self) -> None:
         """Abort all watches; until the outage ends, connections are accepted but receive no response."""
@@ -133,10 +147,10 @@
     def end_outage(self) -> None:
         """Respond to connections again, and send the changes of the outage."""
         self._reachable.set()
-        for endpoint in self._pending:
-            change = self._publish(endpoint)
+        for pending in self._pending:
+            change = self._apply(pending)
             change.notified_by_s = max(change.notified_by_s, now_s() + KNOWN_AFTER_SILENCE_S)
-            if endpoint.status != EndpointStatus.ACTIVE:
+            if pending.status != EndpointStatus.ACTIVE:
                 change.known_by_s = change.notified_by_s
         self._pending.clear()
 
--- a/garnetusher/lab/soak/faults.py
+++ b/garnetusher/lab/soak/faults.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import errno
+import functools
 import random
 import signal
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from garnetusher.lab.soak.client import ClientGroup
@@ -16,6 +18,7 @@
 from garnetusher.lab.soak.list_styles import PLAIN_STYLE, draw_style, prepare_styles
 from garnetusher.lab.soak.plan import (
     DISCOVERY_FAULTS,
+    ENDING_FAULTS,
     PEER_UPSTREAM_FAULTS,
     PRESSURE_UPSTREAM_FAULTS,
     SIDECAR_FAULTS,
@@ -33,6 +36,12 @@
 REPLACEMENT_S = 1.0  # a removed upstream is restarted and listed again after this time
 RELOADS_IN_BURST = 3
 BURST_GAP_S = 0.05  # the pause after each reload of a burst
+DRAIN_BEFORE_RESTART_S = 0.8  # a drain lasts this long before SIGTERM, or before it is ended
+RESTART_SIGNALS = {
+    FaultKind.RESTART: (signal.SIGTERM,),
+    FaultKind.SIGNAL_SERIES: (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+    FaultKind.KILL: (signal.SIGKILL,),
+}
 TRUNCATED_FILE_S = 0.12  # a configuration file stays truncated for this time
 LONGEST_SYSCALL_FAULT_S = 0.3
 LARGEST_INTERRUPT_SHARE = 0.3
@@ -79,9 +88,9 @@
     async def apply(self, fault: Fault) -> None:
         """Inject a fault into all its targets, and return when it is over."""
         nodes = self._nodes
-        if fault.kind in UPSTREAM_FAULTS + PEER_UPSTREAM_FAULTS + PRESSURE_UPSTREAM_FAULTS:
+        if fault.kind in (*UPSTREAM_FAULTS, *PEER_UPSTREAM_FAULTS, *PRESSURE_UPSTREAM_FAULTS, FaultKind.LONG_RESPONSES):
             await asyncio.gather(*(self._apply_to_upstream(fault, nodes.upstreams[n]) for n in fault.targets))
-        elif fault.kind in SIDECAR_FAULTS:
+        elif fault.kind in SIDECAR_FAULTS + ENDING_FAULTS:
             await asyncio.gather(*(self._apply_to_sidecar(fault, number) for number in fault.targets))
         elif fault.kind in DISCOVERY_FAULTS:
             await asyncio.gather(*(_apply_to_discovery(fault, nodes.agents[n]) for n in fault.targets))
@@ -165,10 +174,10 @@
         sidecar = self._nodes.sidecars[number]
         if fault.kind == FaultKind.PAUSE:
             await sidecar.pause(fault.duration_s)
-        elif fault.kind in (FaultKind.RESTART, FaultKind.KILL):
-            signal_number = signal.SIGTERM if fault.kind == FaultKind.RESTART else signal.SIGKILL
-            self._nodes.write_configuration(number)
-            await sidecar.restart(signal_number, self._longest_deadline_s)
+        elif fault.kind in RESTART_SIGNALS:
+            await self._restart(number, RESTART_SIGNALS[fault.kind])
+        elif fault.kind in ENDING_FAULTS:
+            await self._end_process(fault.kind, number)
         elif fault.kind in (FaultKind.RELOAD, FaultKind.RELOAD_BURST, FaultKind.TRUNCATED_FILE):
             await self._reload(fault, number)
         elif sidecar.fault_table is not None and fault.kind == FaultKind.WALL_CLOCK:
@@ -176,6 +185,27 @@
         elif sidecar.fault_table is not None:
             _inject_syscall_fault(fault, sidecar.fault_table)
 
+    async def _end_process(self, kind: FaultKind, number: int) -> None:
+        """End the process of a sidecar with another one beside it or during a drain, or begin and end a drain."""
+        sidecar = self._nodes.sidecars[number]
+        if kind is FaultKind.TAKEOVER:
+            self._nodes.write_configuration(number)
+            await sidecar.take_over(self._longest_deadline_s)
+            return
+        if sidecar.restarting:
+            return
+        await sidecar.drain(enabled=True)
+        await asyncio.sleep(DRAIN_BEFORE_RESTART_S)
+        if kind is FaultKind.DRAIN_CANCELLED:
+            await sidecar.drain(enabled=False)
+        else:
+            await self._restart(number, (signal.SIGTERM,))
+
+    async def _restart(self, number: int, signal_numbers: Sequence[int]) -> None:
+        """End the process of a sidecar, and start it again."""
+        write_configuration = functools.partial(self._nodes.write_configuration, number)
+        await self._nodes.sidecars[number].restart(self._longest_deadline_s, signal_numbers, write_configuration)
+
     async def _reload(self, fault: Fault, number: int) -> None:
         sidecar = self._nodes.sidecars[number]
         for _ in range(RELOADS_IN_BURST if fault.kind == FaultKind.RELOAD_BURST else 1):
--- a/garnetusher/lab/soak/oracle.py
+++ b/garnetusher/lab/soak/oracle.py
@@ -97,6 +97,7 @@
             self._check_disconnect(request)
             self._check_announced_time(request)
             self._check_late_bodies(request)
+            self._check_late_cut(request)
         self._check_drains()
         self._check_slow_starts()
         self._check_malformed_connections()
@@ -140,12 +141,19 @@
             return  # its other responses had lost against the one that was passed on
         for attempt in self._timed_attempts(request):
             after_s = attempt.cut_s - attempt.late_head_s
-            if self._allowances.ended_at(attempt.sidecar, attempt.cut_s):
+            if self._allowances.allows_cut(request, attempt.cut_s):
                 continue  # the process was killed, and the client can tell that the response is incomplete
             if attempt.cut_s and after_s > CUT_SLACK_S + self._attempt_slack_s(request, attempt):
                 text = f"{request.request_id}: {request.end}; its response was cut off {after_s:.3f} s after the head"
                 self._report(Rule.CUT, attempt.cut_s, text)
 
+    def _check_late_cut(self, request: Request) -> None:
+        """Check that the end of a process cuts off no response to a request that was sent late after SIGTERM."""
+        is_cut = request.end is End.BROKEN and not request.disconnected_s and not self._was_reset_by_upstream(request)
+        if is_cut and self._allowances.was_cut_late(request):
+            text = f"{request.request_id}: {request.end}; the end of the process cut off the response to a late request"
+            self._report(Rule.CUT, request.ended_s, text)
+
     def _was_reset_by_upstream(self, request: Request) -> bool:
         """Return whether a response broke at its client when the upstream reset one whose head had come."""
         slack_s = CUT_SLACK_S + self._allowances.recording_slack_s(request.ended_s)
--- a/garnetusher/lab/soak/plan.py
+++ b/garnetusher/lab/soak/plan.py
@@ -74,6 +74,12 @@
     LATE_BODIES = "late_bodies"  # responses whose head comes at once and whose long body comes late
     REPEATED_IDS = "repeated_ids"  # clients disconnect and send the same request again
     LIST_STYLES = "list_styles"  # long endpoint lists in layouts and parts of all kinds, and several in a row
+    TAKEOVER = "takeover"  # a second process is started on the same listening socket, and then the first one is ended
+    SIGNAL_SERIES = "signal_series"  # RESTART by SIGTERM, SIGHUP and SIGTERM in a row
+    DRAIN_RESTART = "drain_restart"  # RESTART while an operator drains the process
+    DRAIN_CANCELLED = "drain_cancelled"  # an operator drains the process and ends the drain
+    LONG_RESPONSES = "long_responses"  # responses that begin at once and take seconds
+    SLOW_HEADS = "slow_heads"  # clients pause for up to two seconds within the head of a request
 
 
 # The plan that is drawn for a seed depends on the order of the kinds.
@@ -129,6 +135,18 @@
 LIST_STYLES_START_S = 5.0  # the styles change from before this time
 ADDED_ENDPOINTS = 1_000
 PRESSURE_ADDED_ENDPOINTS = 200  # at the least memory
+# These kinds are drawn by `add_endings`. Each ending begins twice, the second time soon after the first one is over.
+ENDING_FAULTS = (
+    FaultKind.TAKEOVER,
+    FaultKind.SIGNAL_SERIES,
+    FaultKind.DRAIN_RESTART,
+    FaultKind.DRAIN_CANCELLED,
+)
+ENDINGS_START_S = 2.0  # the first endings begin before this time
+ENDING_GAP_S = 5.0  # the second endings begin this long after the first ones
+ENDING_DURATION_S = 4.0
+TAKEOVER_DIVISOR = 2  # this part of the sidecars is taken over
+LONG_RESPONSE_SHARE = 0.5
 ALL_FAULTS = SIDECAR_FAULTS + UPSTREAM_FAULTS + DISCOVERY_FAULTS + CLIENT_FAULTS
 
 # Errors that end a connection by themselves. They are drawn only for the calls that make connections, since a read
@@ -323,6 +341,42 @@
     return msgspec.structs.replace(plan, faults=sorted([*plan.faults, fault], key=lambda each: each.at_s))
 
 
+def add_endings(plan: Plan) -> Plan:
+    """Return the plan with long responses and slow heads while processes end in all ways.
+
+    A sidecar that is taken over is neither killed nor restarted otherwise: clients would wait at its listening socket.
+    """
+    rng = random.Random(f"{plan.seed}-endings")
+    crowded = {number for fault in plan.faults if fault.kind is FaultKind.CROWD for number in fault.targets}
+    numbers = [number for number in range(plan.sidecars) if number not in crowded]
+    rng.shuffle(numbers)
+    taken_over = sorted(numbers[: max(1, plan.sidecars // TAKEOVER_DIVISOR)])
+    others = numbers[len(taken_over) :]
+    targets = {FaultKind.TAKEOVER: taken_over}
+    for index, kind in enumerate(ENDING_FAULTS[1:]):
+        targets[kind] = others[index : index + 1]
+    faults = [_without_targets(fault, taken_over) for fault in plan.faults]
+    for kind in ENDING_FAULTS:
+        at_s = QUIET_START_S + rng.random() * (ENDINGS_START_S - QUIET_START_S)
+        for begins_s in (at_s, at_s + ENDING_GAP_S):
+            faults.append(Fault(kind, round(begins_s, 3), ENDING_DURATION_S, targets[kind]))
+    duration_s = plan.load_s - QUIET_START_S
+    faults.append(
+        Fault(
+            FaultKind.LONG_RESPONSES, QUIET_START_S, duration_s, list(range(plan.upstreams)), value=LONG_RESPONSE_SHARE
+        )
+    )
+    faults.append(Fault(FaultKind.SLOW_HEADS, QUIET_START_S, duration_s, list(range(plan.sidecars))))
+    return msgspec.structs.replace(plan, faults=sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _without_targets(fault: Fault, taken_over: list[int]) -> Fault:
+    """Return a fault without the kills and restarts of sidecars that are taken over."""
+    if fault.kind not in (FaultKind.RESTART, FaultKind.KILL):
+        return fault
+    return msgspec.structs.replace(fault, targets=[number for number in fault.targets if number not in taken_over])
+
+
 def _draw_faults(rng: random.Random, sidecars: int, upstreams: int) -> list[Fault]:
     """Return groups of faults; each kind is drawn once before any kind is drawn again."""
     faults: list[Fault] = []
--- a/garnetusher/lab/soak/records.py
+++ b/garnetusher/lab/soak/records.py
@@ -9,6 +9,8 @@
 import time
 from dataclasses import dataclass, field
 
+TAKEOVER_DETAIL = "takeover"  # the detail of a SIGTERM after which another process accepts the connections
+
 
 def now_s() -> float:
     """Return the time of the monotonic clock in seconds."""
@@ -64,6 +66,7 @@
     ended_s: float = 0.0
     disconnected_s: float = 0.0  # the time at which the client disconnected before the response; 0 if it did not
     repeated_s: float = 0.0  # the time at which the client sent the request again under its id; 0 if it did not
+    began_s: float = 0.0  # the time of the first byte, if the client paused within the request; 0 if it did not
     foreign_body: bytes = b""  # the body of a response with status 200, if it is not the one made for this request
 
 
--- a/garnetusher/lab/soak/run.py
+++ b/garnetusher/lab/soak/run.py
@@ -124,6 +124,7 @@
         agent = DiscoveryAgent(number, self._host, self.records, ports, pushed=plan.mode == "pushed")
         await agent.open()
         needs_library = any(fault.kind in LIBRARY_FAULTS and number in fault.targets for fault in plan.faults)
+        is_taken_over = any(fault.kind is FaultKind.TAKEOVER and number in fault.targets for fault in plan.faults)
         setup = SidecarSetup(
             number,
             self._host,
@@ -133,14 +134,18 @@
             needs_library,
             plan.memory_mb,
             plan.descriptors,
+            is_taken_over,
         )
         sidecar = SidecarProcess(setup, self.records)
-        clients = ClientGroup(number, sidecar.address, plan, self.records, sidecar.save_trace)
         self.nodes.agents.append(agent)
         self.nodes.sidecars.append(sidecar)
-        self.nodes.clients.append(clients)
+        self.nodes.clients.append(self._make_clients(sidecar))
         self.nodes.write_configuration(number)
 
+    def _make_clients(self, sidecar: SidecarProcess) -> ClientGroup:
+        """Return the clients of a sidecar."""
+        return ClientGroup(sidecar.number, sidecar.address, self.plan, self.records, sidecar.save_trace)
+
     async def _apply_load_and_faults(self) -> None:
         started_s = now_s()
         for fault in self.plan.faults:
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -31,6 +31,9 @@
 SECOND_RESPONSE_PIECES_SHARE = 0.5
 LONG_RESPONSE_BYTES = 100_000
 LATE_BODY_S = 0.9
+LONG_RESPONSE_S = 3.5  # longer than the time from a late request to SIGKILL
+LONG_RESPONSE_PARTS = 35
+CHUNKED_SHARE = 0.5  # this share of the responses that take seconds has no length
 
 
 def response_body(request_id: str) -> bytes:
@@ -287,6 +290,8 @@
             self._write_later(upstream.draw_service_s(), upstream.random.choice(GARBAGE))
         elif upstream.draw_fault(FaultKind.LATE_BODIES):
             self._respond_late(attempt)
+        elif upstream.draw_fault(FaultKind.LONG_RESPONSES):
+            self._respond_slowly(attempt)
         else:
             self._write_later(upstream.draw_service_s(), self._usual_response(attempt))
 
@@ -305,6 +310,33 @@
         self._transport.write(head)
         self._write_later(LATE_BODY_S, rest)
 
+    def _respond_slowly(self, attempt: Attempt) -> None:
+        """Write the head of a long response at once, and its body steadily over some seconds."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        body = long_response_body(attempt.request_id)
+        size = -(-len(body) // LONG_RESPONSE_PARTS)
+        parts = [body[start : start + size] for start in range(0, len(body), size)]
+        framing = b"Content-Length: %d" % len(body)
+        if self._upstream.random.random() < CHUNKED_SHARE:
+            framing = b"Transfer-Encoding: chunked"
+            parts = [b"%x\r\n%s\r\n" % (len(part), part) for part in parts]
+            parts[-1] += LAST_CHUNK
+        self._late_attempt = attempt
+        attempt.late_head_s = now_s()
+        self._transport.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % framing)
+        self._write_parts(attempt, parts)
+
+    def _write_parts(self, attempt: Attempt, parts: list[bytes]) -> None:
+        """Write the next part of a long response, and schedule the others."""
+        if self._late_attempt is not attempt or self._transport is None or self._transport.is_closing():
+            return
+        if len(parts) == 1:
+            self._write(parts[0])
+            return
+        self._transport.write(parts[0])
+        self._listener.loop.call_later(LONG_RESPONSE_S / LONG_RESPONSE_PARTS, self._write_parts, attempt, parts[1:])
+
     def _write_later(self, delay_s: float, response: bytes) -> None:
         self._listener.loop.call_later(delay_s, self._write, response)
 
--- a/tests/test_short_soak.py
+++ b/tests/test_short_soak.py
@@ -14,6 +14,7 @@
 from garnetusher.lab.sidecars import build
 from garnetusher.lab.soak.campaign import draw_soak
 from garnetusher.lab.soak.plan import (
+    ENDING_FAULTS,
     PEER_CLIENT_FAULTS,
     PEER_UPSTREAM_FAULTS,
     PRESSURE_CLIENT_FAULTS,
@@ -42,6 +43,9 @@
     *PEER_CLIENT_FAULTS,
     *PRESSURE_UPSTREAM_FAULTS,
     *PRESSURE_CLIENT_FAULTS,
+    *ENDING_FAULTS,
+    FaultKind.LONG_RESPONSES,
+    FaultKind.SLOW_HEADS,
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from garnetusher.lab.soak.oracle import Oracle
 from garnetusher.lab.soak.plan import Fault, FaultKind, Plan, RequestClass
 from garnetusher.lab.soak.records import (
+    TAKEOVER_DETAIL,
     Attempt,
     End,
     EndpointChange,
@@ -322,6 +323,41 @@
     }
 
 
+TERMINATED = (ProcessEvent(0, ProcessEventKind.TERMINATE, 9.0), ProcessEvent(0, ProcessEventKind.ENDED, 11.0, "-9"))
+CUT_ATTEMPT = Attempt("s0-1", 0, 0, 10.01, 0.98, 0, body_complete_s=10.01, late_head_s=10.02, cut_s=11.0)
+
+
+def test_oracle_excuses_a_response_cut_off_by_sigkill_only_when_its_request_was_not_late() -> None:
+    broken = with_request(end=End.BROKEN, ended_s=11.0)
+    assert broken_rules(broken, CUT_ATTEMPT, events=TERMINATED) == {"cut"}
+    # Without a record of the upstream's end, the client's record shows the cut.
+    assert broken_rules(broken, ATTEMPT, events=TERMINATED) == {"cut"}
+    by_successor = (ProcessEvent(0, ProcessEventKind.TERMINATE, 9.0, TAKEOVER_DETAIL), TERMINATED[1])
+    assert broken_rules(broken, CUT_ATTEMPT, events=by_successor) == set()
+    in_time = (ProcessEvent(0, ProcessEventKind.TERMINATE, 9.5), TERMINATED[1])
+    assert broken_rules(broken, CUT_ATTEMPT, events=in_time) == set()
+    killed = (ProcessEvent(0, ProcessEventKind.KILL, 10.99), TERMINATED[1])
+    assert broken_rules(broken, CUT_ATTEMPT, events=killed) == set()
+    refused = with_request(class_name="read", end=End.REFUSED, ended_s=10.5)
+    given_up = Attempt("s0-1", 0, 0, 10.01, 0.98, 0, body_complete_s=10.01, late_head_s=10.02, cut_s=10.5)
+    assert broken_rules(refused, given_up, events=TERMINATED) == set()
+    assert broken_rules(refused, given_up, events=()) == {"cut"}
+
+
+def test_oracle_reports_a_late_request_whose_connection_ends_without_a_response() -> None:
+    closed = with_request(end=End.CLOSED, new_connection=False, ended_s=11.0)
+    assert broken_rules(closed, ATTEMPT, events=TERMINATED) == {"lost"}
+    silent = with_request(end=End.SILENT, ended_s=11.8)
+    assert broken_rules(silent, ATTEMPT, events=TERMINATED) == {"lost"}
+
+
+def test_oracle_excuses_a_request_that_was_killed_between_its_first_and_its_last_byte() -> None:
+    closed = with_request(end=End.CLOSED, began_s=8.5)
+    killed = (ProcessEvent(0, ProcessEventKind.KILL, 9.0),)
+    assert broken_rules(closed, events=killed) == set()
+    assert broken_rules(with_request(end=End.CLOSED), events=killed) == {"lost"}
+
+
 STARTED_S = 100.0  # the time at which the upstream of the slow-start tests starts
 
 
