Limit late requests that are read before SIGTERM is handled

What callers saw: a process that was stopped (SIGSTOP) when SIGTERM came, and went on 1 s later, streamed a long response to a request that had arrived meanwhile, and SIGKILL cut it off.

Cause: the event loop reads what has arrived before the callback of the signal runs, and the shutdown began two iterations later, in a task. Requests that came late were dispatched as if before SIGTERM.

Change: the callback of SIGTERM begins the shutdown itself (`Sidecar.begin_shutdown`), and requests that were read more than 0.7 s after the earliest time of the signal may have no streamed response from then on. The callback runs before the responses of the same poll, so no response has begun by then.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -315,6 +315,11 @@
             self.server.trace.record_late_request(request_id, LateRequest.NOT_REPEATABLE)
             self.shed_incomplete_request(ClientCloseReason.SHUTDOWN, self.server.retry_after_us)
 
+    def limit_forwarded_request(self) -> None:
+        """Let a request that came late, but was forwarded before that was known, have no streamed response."""
+        if self.has_open_request and self.reader.complete and self.reader.http_request is not None:
+            self.reader.http_request.admission = Admission.WHOLE_RESPONSE
+
     def _finish_upload(self, upload: Upload) -> None:
         arrived_us = self.arrival_times.arrived_us  # a response during `finish` resets this time
         upload.finish()
--- a/garnetusher/sidecar/downstream/server.py
+++ b/garnetusher/sidecar/downstream/server.py
@@ -91,6 +91,18 @@
         """The delay after which the client of a request that is shed may retry."""
         return RESTART_RETRY_AFTER_US if self.shutdown_schedule is None else self.shutdown_schedule.retry_after_us
 
+    def begin_shutdown(self, schedule: ClosingSchedule) -> None:
+        """Apply the schedule of a shutdown from now on, also to requests that were read before the signal was handled.
+
+        After a pause of the process the event loop reads what has arrived before it handles the signal.
+        """
+        self.shutdown_schedule = schedule
+        elapsed_s, now_us = self.lifecycle.closing_for_s, monotonic_us()
+        for connection in list(self.connections):
+            read_s = elapsed_s - (now_us - connection.arrival_times.read_at_us) / 1e6
+            if not schedule.streams_responses(read_s):
+                connection.limit_forwarded_request()
+
     def admission(self, http_request: HttpRequest) -> Admission:
         """Return what a request whose last byte is read now may receive."""
         if self.shutdown_schedule is None:
--- a/garnetusher/sidecar/service.py
+++ b/garnetusher/sidecar/service.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 from garnetusher.sidecar import shutdown, startup
-from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.configuration import Configuration
 from garnetusher.sidecar.reload import Reloader
 from garnetusher.sidecar.sidecar import Sidecar
@@ -29,12 +28,18 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
 
-    def reload_on_sighup(sidecar: Sidecar) -> None:
-        """Let the sidecar read its file at each SIGHUP, also at one that has arrived already."""
+    def handle_signals(sidecar: Sidecar) -> None:
+        """Let the sidecar read its file at each SIGHUP, also at one that has arrived already, and stop at SIGTERM."""
+
+        def on_sigterm() -> None:
+            sidecar.begin_shutdown()
+            stop.set()
+
+        loop.add_signal_handler(signal.SIGTERM, on_sigterm)
         loop.add_signal_handler(signal.SIGHUP, Reloader(path, sidecar.reload).on_signal)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
-    await serve(configuration, stop, reload_on_sighup, inherited)
+    await serve(configuration, stop, handle_signals, inherited)
 
 
 async def serve(
@@ -57,7 +62,7 @@
     sidecar = Sidecar(configuration, inherited)
     sidecar.start()
     on_sidecar_started(sidecar)
-    stopping = asyncio.create_task(_wait_for_stop(sidecar, stop))
+    stopping = asyncio.create_task(_begin_shutdown_at(sidecar, stop))
     members = await startup.start_membership(sidecar)
     await startup.start_admin(sidecar, members)
     if inherited is not None:
@@ -68,13 +73,12 @@
     await stopping
 
     leaving = None if members is None else asyncio.create_task(members.leave())
-    await shutdown.shut_down(server, has_successor=inherited is not None)
+    await shutdown.shut_down(server, sidecar.begin_shutdown())
     if leaving is not None:
         await leaving
 
 
-async def _wait_for_stop(sidecar: Sidecar, stop: asyncio.Event) -> None:
-    """Wait for SIGTERM and record its time, from which SIGKILL is due, even if the startup is not complete yet."""
+async def _begin_shutdown_at(sidecar: Sidecar, stop: asyncio.Event) -> None:
+    """Wait for the event and begin the shutdown, even if the startup is not complete yet."""
     await stop.wait()
-    signal_age_us = monotonic_us() - sidecar.server.event_loop_lag.earliest_signal_us()
-    sidecar.lifecycle.stop(signal_age_us / 1e6)
+    sidecar.begin_shutdown()
--- a/garnetusher/sidecar/shutdown.py
+++ b/garnetusher/sidecar/shutdown.py
@@ -15,7 +15,7 @@
 log = logging.getLogger(__name__)
 
 
-async def shut_down(server: DownstreamServer, *, has_successor: bool) -> None:
+async def shut_down(server: DownstreamServer, schedule: ClosingSchedule) -> None:
     """Stop accepting connections, close those that are open, and return when nothing is in flight.
 
     The process does not exit by itself while any request is in flight, because an exit would certainly lose that
@@ -23,10 +23,8 @@
 
     Args:
         server: the server of all client connections, whose lifecycle is stopping.
-        has_successor: whether another process shares the listening socket.
+        schedule: the schedule of the shutdown.
     """
-    schedule = ClosingSchedule.for_shutdown(server.dispatcher.settings.classes, has_successor=has_successor)
-    server.shutdown_schedule = schedule
     _announce_deadline(server, schedule)
     closing_listener = asyncio.create_task(_close_listener(server, schedule))
     while not closing_listener.done() or _has_open_work(server, schedule):
--- a/garnetusher/sidecar/sidecar.py
+++ b/garnetusher/sidecar/sidecar.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 
 from garnetusher.sidecar import configuration as configurations
+from garnetusher.sidecar.clock import monotonic_us
+from garnetusher.sidecar.closing_schedule import ClosingSchedule
 from garnetusher.sidecar.configuration import Configuration
 from garnetusher.sidecar.discovery.endpoint_list import EndpointList
 from garnetusher.sidecar.discovery.watch import EndpointWatcher
@@ -74,6 +76,7 @@
             inherited: listening socket, if the platform holds it open and another process may share it.
         """
         settings = configuration.settings
+        self._has_successor = inherited is not None  # another process accepts the connections once this one stops
         self.configuration = configuration
         self.trace = Trace()
         max_connections = configuration.max_descriptors // CLIENT_DESCRIPTOR_DIVISOR
@@ -117,6 +120,21 @@
             self.endpoint_watcher.watch_permanently()
         self.dispatcher.start()
 
+    def begin_shutdown(self) -> ClosingSchedule:
+        """Begin the shutdown with the time of SIGTERM, from which SIGKILL is due; a repeated call changes nothing.
+
+        A signal handler calls this method before the event loop reads any response to a request that it has read
+        before the signal, as after a pause of the process.
+        """
+        server = self.server
+        if server.shutdown_schedule is not None:
+            return server.shutdown_schedule
+        self.lifecycle.stop((monotonic_us() - server.event_loop_lag.earliest_signal_us()) / 1e6)
+        classes = self.dispatcher.settings.classes
+        schedule = ClosingSchedule.for_shutdown(classes, has_successor=self._has_successor)
+        server.begin_shutdown(schedule)
+        return schedule
+
     def reload(self, path: str) -> None:
         """Read the file again and apply all of it; nothing changes if an error is raised.
 
