Limit a forwarded request whose body ends between two steps of the shutdown

What callers saw: a long body that was being forwarded at SIGTERM ended after 0.7 s, in the 10 ms before the next step of the shutdown or during a pause over that time, and its long response was streamed and cut off by SIGKILL.

Cause: requests whose bodies are incomplete at 0.7 s are limited by the step after it, and one whose body has ended by then is not. The event loop reads before it runs timers that are due.

Change: the end of a body asks the schedule, too. Its last bytes may have been forwarded, so an unsafe request gets 500 if its response is long.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -322,6 +322,9 @@
 
     def _finish_upload(self, upload: Upload) -> None:
         arrived_us = self.arrival_times.arrived_us  # a response during `finish` resets this time
+        http_request = self.reader.http_request
+        if http_request is not None and self.server.admission(http_request) is not Admission.ANY_RESPONSE:
+            self.limit_forwarded_request()
         upload.finish()
         if self.has_open_request:
             self.server.dispatcher.on_body_complete(self._request_id, arrived_us)
--- a/tests/test_late_requests_at_shutdown.py
+++ b/tests/test_late_requests_at_shutdown.py
@@ -302,6 +302,29 @@
     run(test)
 
 
+def test_body_that_ends_late_while_the_process_is_stopped_has_no_streamed_response(tmp_path: Path) -> None:
+    # Guards against a body that ends between the time for streamed responses and the next step of the shutdown.
+    async def test() -> None:
+        async with peers(tmp_path, Ending.REPLACEMENT) as instance:
+            reader, writer = await instance.resting_connection()
+            data = upload_request(b"x" * 200_000).replace(b"/it?x=1", b"/long")
+            writer.write(data[:150_000])
+            await asyncio.sleep(0.2)
+            instance.terminate()
+            await instance.wait_until(0.4)
+            instance.send_signal(signal.SIGSTOP)
+            await instance.wait_until(0.8)
+            writer.write(data[150_000:])
+            await instance.wait_until(LATE_S)
+            instance.send_signal(signal.SIGCONT)
+            running = asyncio.ensure_future(read_outcome(reader))
+            await instance.kill()
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                assert await running is Outcome.FAILED
+
+    run(test)
+
+
 def test_second_sigterm_changes_nothing_when_it_comes_late(tmp_path: Path) -> None:
     async def test() -> None:
         async with peers(tmp_path, Ending.REPLACEMENT) as instance:
