--- a/garnetusher/lab/soak/allowances.py
+++ b/garnetusher/lab/soak/allowances.py
@@ -32,6 +32,8 @@
 REPLACED_AFTER_TERMINATE_S = 5.0  # this long after SIGTERM, a new process has replaced the old one
 KILL_BEFORE_REQUEST_S = 0.3  # a request may be written to a connection whose process was killed this long before
 KILL_AFTER_RESPONSE_S = 0.1  # a kill recorded up to this long after the end of a request may have caused that end
+# A sidecar that drains or stops may close a connection that has been unused for this long, as in a lag of its client.
+UNUSED_CONNECTION_S = 0.3
 # A malformed connection is exempt if a SIGTERM or SIGKILL hit its process in the interval from END_BEFORE_CONNECTION_S
 # before to END_AFTER_CONNECTION_S after the client connected.
 END_BEFORE_CONNECTION_S = 5.0
@@ -107,6 +109,8 @@
     def allows_missing_response(self, request: Request) -> bool:
         """Return whether the end of the sidecar's process explains why a request had no response."""
         lag_s = self.recording_slack_s(request.sent_s) - RECORDING_DELAY_S
+        if request.new_connection and request.end is End.CLOSED and lag_s > UNUSED_CONNECTION_S:
+            return True
         return any(_explains_missing_response(event, request, lag_s) for event in self._events[request.sidecar])
 
     def ended_near_connection(self, sidecar: int, connected_s: float) -> bool:
--- a/garnetusher/lab/soak/sidecar_process.py
+++ b/garnetusher/lab/soak/sidecar_process.py
@@ -214,10 +214,13 @@
         """Wait for the end of a process after SIGTERM, and kill it when that is due."""
         try:
             await asyncio.wait_for(process.wait(), min(LONGEST_DRAIN_S, longest_deadline_s) + KILL_GAP_S)
+            ended_s = now_s()
         except TimeoutError:
+            ended_s = now_s()  # the kernel closes its connections now, and reports its end later
             send_signal(process, signal.SIGKILL)
             await process.wait()
-        self.record(ProcessEventKind.ENDED, str(process.returncode))
+        event = ProcessEvent(self.number, ProcessEventKind.ENDED, ended_s, str(process.returncode))
+        self._records.process_events.append(event)
 
     async def kill(self) -> None:
         """Kill the process, and record whether it had ended by itself before."""
