Move the time-outs of client connections to a module of their own

Change: timeouts.py has the checks of time-outs, as functions of a connection; the connection keeps what they act on (record_close, reject, reset, has_unread_bytes, has_stalled_client, report_stalled_body). No behaviour changes; two tests patch the new place.

--- a/garnetusher/sidecar/downstream/connection.py
+++ b/garnetusher/sidecar/downstream/connection.py
@@ -9,6 +9,7 @@
 
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.closing_schedule import RESTART_RETRY_AFTER_US, Admission
+from garnetusher.sidecar.downstream import timeouts
 from garnetusher.sidecar.downstream.arrival_time import ArrivalTimes
 from garnetusher.sidecar.downstream.errors import RequestRejected
 from garnetusher.sidecar.downstream.lingering_close import LingeringClose
@@ -16,11 +17,10 @@
 from garnetusher.sidecar.downstream.request_reader import RequestReader
 from garnetusher.sidecar.downstream.response_writer import ResponseWriter, content_type_header, retry_after_header
 from garnetusher.sidecar.memory_budget import CONNECTION_SIZE, MemoryHolding, growing_buffer_size
-from garnetusher.sidecar.requests.messages import RESPONSE_MARGIN_US, Disposition, FinalResponse
+from garnetusher.sidecar.requests.messages import Disposition, FinalResponse
 from garnetusher.sidecar.requests.trace import NO_REQUEST, EventName
 from garnetusher.sidecar.sockets import ShortageTolerantSocket
 from garnetusher.sidecar.streaming import (
-    STALL_TIMEOUT_US,
     UPLOAD_MEMORY_SIZE,
     Head,
     SharedBufferProtocol,
@@ -34,8 +34,6 @@
 
 log = logging.getLogger(__name__)
 
-CHECK_INTERVAL_S = 0.1  # interval between time-out checks of all connections
-BODY_MEMORY_TIMEOUT_US = 5_000_000  # maximum wait for free memory for a long body
 MAX_HIDDEN_CLOSE_US = 50_000  # half the time after a close within which an attempt may begin
 MIN_HIDING_SIZE = 32 * 1024  # with fewer unread bytes, the receive buffer has room for the end of the input
 EMPTY_LINE = b"\r\n"
@@ -155,8 +153,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the server and cancel its request."""
-        self._record_close(ClientCloseReason.CLIENT_CLOSED if exc is None else ClientCloseReason.RESET)
-        if self._is_closed_idle and self._has_unread_bytes():
+        self.record_close(ClientCloseReason.CLIENT_CLOSED if exc is None else ClientCloseReason.RESET)
+        if self._is_closed_idle and self.has_unread_bytes():
             self.server.trace.count(CROSSED_CLOSES)
         self.server.connections.pop(self, None)
         self._drop_request()
@@ -173,10 +171,10 @@
         forwards no further attempts of its request.
         """
         if not (self.has_open_request and self.reader.complete):
-            self._record_close(ClientCloseReason.CLIENT_CLOSED)
+            self.record_close(ClientCloseReason.CLIENT_CLOSED)
             if self.writer.source is not None:
                 # An orderly close would make a partial response look complete.
-                self._reject(400, ClientCloseReason.CLIENT_CLOSED)
+                self.reject(400, ClientCloseReason.CLIENT_CLOSED)
             return False
         self._close_after_response(ClientCloseReason.CLIENT_HALF_CLOSED)
         self._client_half_closed = True
@@ -231,7 +229,7 @@
         except Exception:
             # An unexpected error in one request must affect neither the process nor other requests.
             log.exception("unexpected error while processing a client request; responding with status 500")
-            self._reject(500, ClientCloseReason.INTERNAL_ERROR)
+            self.reject(500, ClientCloseReason.INTERNAL_ERROR)
         return True
 
     # Reading a request
@@ -373,12 +371,12 @@
         """
         if self.has_open_request and self.server.dispatcher.begin_any_response(self._request_id):
             return
-        self._reject(503, reason, headers=self._retry_after_header(retry_after_us))
+        self.reject(503, reason, headers=self._retry_after_header(retry_after_us))
 
     def _reject_with_reason(self, rejection: RequestRejected) -> None:
-        self._reject(rejection.status, ClientCloseReason.BAD_REQUEST, str(rejection).encode() + b"\n")
+        self.reject(rejection.status, ClientCloseReason.BAD_REQUEST, str(rejection).encode() + b"\n")
 
-    def _reject(self, status: int, reason: ClientCloseReason, body: bytes = b"", headers: bytes = b"") -> None:
+    def reject(self, status: int, reason: ClientCloseReason, body: bytes = b"", headers: bytes = b"") -> None:
         """Drop the request, send an error response and close the connection.
 
         If a streamed response has started, the client would read the error as part of it, so the connection is
@@ -388,7 +386,7 @@
         self._drop_request()
         self._close_reason = reason
         if response_started:
-            self._record_close(reason)
+            self.record_close(reason)
             self.finish_response(complete=False)
         else:
             self._write_response(status, body, headers)
@@ -442,8 +440,8 @@
         self.has_open_request = False
         self.writer.source = None
         if not complete:
-            self._record_close(ClientCloseReason.RESPONSE_INCOMPLETE)
-            self._reset()
+            self.record_close(ClientCloseReason.RESPONSE_INCOMPLETE)
+            self.reset()
         elif not self.transport.is_closing():
             self.writer.end_stream()
             self._on_response_complete()
@@ -525,7 +523,7 @@
 
     # Closing the connection
 
-    def _record_close(self, reason: ClientCloseReason) -> None:
+    def record_close(self, reason: ClientCloseReason) -> None:
         """Record why the connection closes; the first reason counts."""
         if not self._is_close_recorded:
             self._is_close_recorded = True
@@ -533,7 +531,7 @@
 
     def _start_lingering_close(self, reason: ClientCloseReason) -> None:
         """Close the sending side and discard further input."""
-        self._record_close(reason)
+        self.record_close(reason)
         self.state = ConnectionState.CLOSING
         self.reader.release()  # the close may take seconds
         if self._client_half_closed:  # no further input can arrive, and an immediate close frees the descriptor
@@ -579,7 +577,7 @@
     def _close_if_idle(self, reason: ClientCloseReason) -> None:
         if self.state is ConnectionState.CLOSE_SCHEDULED:
             self.state = ConnectionState.ACTIVE
-        if self.idle and not self._has_unread_bytes():
+        if self.idle and not self.has_unread_bytes():
             self.close(reason)
 
     def close(self, reason: ClientCloseReason) -> None:
@@ -587,74 +585,32 @@
         carries_request = self.has_open_request and self.reader.complete
         if not self.server.dispatcher.write_gate.may_close(self._request_id, carries_request):
             return
-        self._record_close(reason)
+        self.record_close(reason)
         self._is_closed_idle = True
         self.state = ConnectionState.CLOSING
         self.transport.close()
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
         """Reset the connection, because an orderly close would make the response look complete."""
         if self._sock is not None:
             self._sock.reset_at_close()
         self.transport.abort()
 
-    # Time-outs
-
     def check_timeouts(self, now_us: int) -> None:
-        """Apply the time-outs.
-
-        Without them, a client that sends nothing or only part of a request would stay connected forever.
-
-        Args:
-            now_us: The time of the check, which is the same for all connections.
-        """
+        """Apply the time-outs at a time, which is the same for all connections."""
         self.update_holding()
-        if self._is_stalled(now_us):
-            self._record_close(ClientCloseReason.CLIENT_STALLED)
-            self._reset()
-            return
-        if self.closing or self.reader.complete:
-            return
-        if self.has_sent_valid_request and self.reader.message_started_us == 0:
-            return  # the connection is idle between two requests
-        if self.arrival_times.paused_since_us:
-            self._check_paused_body(now_us)
-        elif self.writer.source is None and self._must_respond_before_next_check(now_us):
-            self.shed_incomplete_request(ClientCloseReason.BODY_NOT_READ)
-        elif now_us > self.reader.deadline_us and (self.reading.is_paced or not self._has_unread_bytes()):
-            if self.reader.message_started_us:
-                self._reject(408, ClientCloseReason.READ_TIMEOUT)
-            else:
-                self.schedule_close(ClientCloseReason.NO_REQUEST)
-
-    def _has_unread_bytes(self) -> bool:
+        timeouts.check(self, now_us)
+
+    def has_unread_bytes(self) -> bool:
         """Return whether bytes wait in the kernel: the process was held up, or was short of memory for the reads."""
         return self._sock is not None and self._sock.unread_size() > 0
 
-    def _is_stalled(self, now_us: int) -> bool:
+    def has_stalled_client(self, now_us: int) -> bool:
+        """Return whether the client has read nothing of a response for the stall time-out."""
         if self._sock is None or not self.writer.unsent_size:
             return self.writer.is_stalled(now_us, 0)
         return self.writer.is_stalled(now_us, self._sock.unacknowledged_size())
 
-    def _check_paused_body(self, now_us: int) -> None:
-        if self.writer.source is not None:
-            return  # no time-out interrupts a started response; the pool resets it if the upstream stops sending
-        paused_us = now_us - self.arrival_times.paused_since_us
-        if self.client_has_closed():
-            self.shed_incomplete_request(ClientCloseReason.CLIENT_CLOSED)
-        elif self._must_respond_before_next_check(now_us):
-            self.shed_incomplete_request(ClientCloseReason.BODY_NOT_READ)
-        elif not self.has_open_request and paused_us > BODY_MEMORY_TIMEOUT_US:
-            self.shed_incomplete_request(ClientCloseReason.BODY_MEMORY, BODY_MEMORY_TIMEOUT_US)
-        elif self.has_open_request and paused_us > STALL_TIMEOUT_US:
-            self.arrival_times.restart_pause(now_us)  # the next attempt has the full time-out to take the body
-            self.server.dispatcher.on_body_stalled(self._request_id)
-
-    def _must_respond_before_next_check(self, now_us: int) -> bool:
-        """Return whether the body may have been written to its end and the response is due before the next check."""
-        http_request = self.reader.http_request
-        unread_end_since_us = self.arrival_times.unread_end_since_us(self.reader.missing_size)
-        if not unread_end_since_us or http_request is None:
-            return False
-        response_due_us = unread_end_since_us + http_request.client_timeout_us - RESPONSE_MARGIN_US
-        return now_us + int(CHECK_INTERVAL_S * 1e6) > response_due_us
+    def report_stalled_body(self) -> None:
+        """Tell the dispatcher that the upstream has stopped reading the body."""
+        self.server.dispatcher.on_body_stalled(self._request_id)
--- a/garnetusher/sidecar/downstream/server.py
+++ b/garnetusher/sidecar/downstream/server.py
@@ -10,9 +10,10 @@
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.closing_schedule import RESTART_RETRY_AFTER_US, Admission, ClosingSchedule
 from garnetusher.sidecar.downstream.arrival_time import EventLoopLag
-from garnetusher.sidecar.downstream.connection import CHECK_INTERVAL_S, ConnectionState, DownstreamConnection
+from garnetusher.sidecar.downstream.connection import ConnectionState, DownstreamConnection
 from garnetusher.sidecar.downstream.listener import Listener, open_listening_socket
 from garnetusher.sidecar.downstream.router import RequestRouter
+from garnetusher.sidecar.downstream.timeouts import CHECK_INTERVAL_S
 from garnetusher.sidecar.lifecycle import Lifecycle, LifecycleState
 from garnetusher.sidecar.memory_budget import RELIEF_FRACTION, MemoryBudget
 from garnetusher.sidecar.read_pacing import PacedConnections
--- a/tests/test_streamed_bodies.py
+++ b/tests/test_streamed_bodies.py
@@ -7,7 +7,7 @@
 import pytest
 
 from garnetusher.policy.settings import RequestClass, Settings
-from garnetusher.sidecar.downstream import connection, request_reader
+from garnetusher.sidecar.downstream import request_reader, timeouts
 from garnetusher.sidecar.downstream.router import RequestRouter
 from garnetusher.sidecar.streaming import Upload
 from tests.downstream import NullDispatcher, new_connection, new_server
@@ -216,7 +216,7 @@
 
 
 def test_sidecar_sheds_when_upstream_stops_reading_long_body(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(connection, "STALL_TIMEOUT_US", 500_000)
+    monkeypatch.setattr(timeouts, "STALL_TIMEOUT_US", 500_000)
 
     async def test() -> None:
         attempts, finished = [], asyncio.Event()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -18,8 +18,8 @@
 from garnetusher.sidecar import closing_schedule, transitions
 from garnetusher.sidecar.clock import monotonic_us
 from garnetusher.sidecar.discovery.endpoint_list import BATCH_SIZE
-from garnetusher.sidecar.downstream import request_reader
-from garnetusher.sidecar.downstream.connection import BODY_MEMORY_TIMEOUT_US
+from garnetusher.sidecar.downstream import request_reader, timeouts
+from garnetusher.sidecar.downstream.timeouts import BODY_MEMORY_TIMEOUT_US
 from garnetusher.sidecar.requests.dispatcher import RequestDispatcher
 from garnetusher.sidecar.requests.messages import Denial, Disposition
 from garnetusher.sidecar.requests.trace import STATE_TRACE_CAPACITY, TRACE_CAPACITY, EventName, Trace
@@ -247,7 +247,7 @@
         crowded.server.add_connection(late)
         for _ in range(3):  # the iterations of the loop that read a pending request
             await asyncio.sleep(0)
-        monkeypatch.setattr(late, "_must_respond_before_next_check", lambda now_us: True)
+        monkeypatch.setattr(timeouts, "must_respond_before_next_check", lambda each, now_us: each is late)
         for paused in (waiting, late):
             paused.server.body_memory.free = 0
             paused.data_received(upload_request(LONG_BODY)[:70_000])
