Let KNOWN-RED.txt name cases of the reviews, which are printed and not run

Need: a known failure among the scripts of review/ had no form in the list, as its lines had to name tests of the default run.

Change: a line may name a folder review/N with a script; the suite prints it with its command. A folder without a script is an error.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -69,6 +69,7 @@
         ("tests/test_it.py::test_bad | | a failure | issue 1", f"expected '{known_red.FORM}'"),
         ("tests/test_it.py::test_bad | a | b | c | issue 1", f"expected '{known_red.FORM}'"),
         ("tests/test_it.py::test_worse | command | a failure | issue 1", "test_worse is listed twice"),
+        ("review/9 | sh review/9/run.sh | no such case | issue 1", f"expected '{known_red.FORM}'"),
         ("tests/test_it.py::test_each[1] | command | a failure | issue 1", "test_each[1] is listed twice"),
     ],
 )
@@ -78,6 +79,16 @@
     assert message in completed.stdout + completed.stderr
 
 
+def test_run_prints_a_case_of_the_reviews_without_running_it(tmp_path: Path) -> None:
+    script = tmp_path / "review" / "6" / "run.sh"
+    script.parent.mkdir(parents=True)
+    script.write_text("touch was-run\n")
+    completed = run_suite(tmp_path, *ALL_FAILURES_LISTED, "review/6 | sh review/6/run.sh | a failure | issue 4")
+    assert completed.returncode == 0, completed.stdout
+    assert "KNOWN RED review/6: sh review/6/run.sh: a failure (issue 4)" in completed.stdout
+    assert not list(tmp_path.rglob("was-run"))
+
+
 def test_run_passes_when_the_list_names_each_case_of_a_test(tmp_path: Path) -> None:
     cases = [f"tests/test_it.py::test_each[{n}] | command | a failure | issue 3" for n in (1, 2)]
     completed = run_suite(tmp_path, *ALL_FAILURES_LISTED[:2], *cases)
