--- a/garnetusher/lab/soak/oracle.py
+++ b/garnetusher/lab/soak/oracle.py
@@ -139,7 +139,7 @@
             return
         if request.end is End.SILENT and self._allowances.recording_slack_s(request.ended_s) > RECORDING_DELAY_S:
             return  # its client gave up during a lag of its process, and may have had bytes to read
-        if self._was_reset_by_upstream(request):
+        if self._was_reset_by_upstream(request) or any(each.silenced_s for each in self._attempts[request.request_id]):
             return  # its other responses had lost against the one that was passed on
         for attempt in self._timed_attempts(request):
             after_s = attempt.cut_s - attempt.late_head_s
--- a/garnetusher/lab/soak/records.py
+++ b/garnetusher/lab/soak/records.py
@@ -86,6 +86,7 @@
     thawed_s: float = 0.0  # the time at which the latest freeze of the upstream had ended; 0 if there was none
     late_head_s: float = 0.0  # the time at which the head of a response was written whose long body comes late
     cut_s: float = 0.0  # the time at which the sidecar closed the connection before the late body was written
+    silenced_s: float = 0.0  # the time at which the upstream fell silent before the late body was written
     reset_s: float = 0.0  # the time at which the upstream itself reset the connection before the late body was written
 
 
--- a/garnetusher/lab/soak/upstream.py
+++ b/garnetusher/lab/soak/upstream.py
@@ -344,7 +344,9 @@
         if self._transport is None or self._transport.is_closing():
             return
         if FaultKind.SILENT in self._upstream.active_faults:
-            self._late_attempt = None  # from now on the upstream writes nothing, so the sidecar may give it up
+            if self._late_attempt is not None:  # from now on the upstream writes nothing, so the sidecar may give it up
+                self._late_attempt.silenced_s = now_s()
+            self._late_attempt = None
             return
         self._received = bytearray()
         self._attempt = self._late_attempt = None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -344,6 +344,14 @@
     assert broken_rules(refused, given_up, events=()) == {"cut"}
 
 
+def test_oracle_excuses_the_cut_of_a_response_that_had_lost_against_one_whose_upstream_fell_silent() -> None:
+    loser = Attempt("s0-1", 0, 1, 10.01, 0.98, 0, body_complete_s=10.01, late_head_s=10.02, cut_s=10.5)
+    silenced = Attempt("s0-1", 0, 0, 10.01, 0.98, 0, body_complete_s=10.01, late_head_s=10.02, silenced_s=11.0)
+    request = with_request(class_name="read", end=End.SILENT, ended_s=18.0)
+    assert broken_rules(request, loser, silenced) == set()
+    assert broken_rules(request, loser) == {"cut"}
+
+
 def test_oracle_reports_a_late_request_whose_connection_ends_without_a_response() -> None:
     closed = with_request(end=End.CLOSED, new_connection=False, ended_s=11.0)
     assert broken_rules(closed, ATTEMPT, events=TERMINATED) == {"lost"}
