Describe the callback of SIGTERM and reword a comment fragment

Need: one comment was a fragment, and a function of the service had no docstring. Nothing else changes; formatter, linter, types and the tests of layers pass.

--- a/garnetusher/lab/soak/ending_benchmark.py
+++ b/garnetusher/lab/soak/ending_benchmark.py
@@ -21,7 +21,7 @@
 from garnetusher.lab.soak.run import SoakRun
 from garnetusher.lab.soak.sidecar_process import SidecarProcess
 
-RATE_PER_S = 60.0  # of all connections together
+RATE_PER_S = 60.0  # the sum over all connections
 FIRST_ENDING_S = 2.0
 ENDING_INTERVAL_S = 6.0  # a takeover takes up to 4 s
 LONG_SHARE = 0.3
--- a/garnetusher/sidecar/service.py
+++ b/garnetusher/sidecar/service.py
@@ -32,6 +32,7 @@
         """Let the sidecar read its file at each SIGHUP, also at one that has arrived already, and stop at SIGTERM."""
 
         def on_sigterm() -> None:
+            """Begin the shutdown before the event loop reads anything else."""
             sidecar.begin_shutdown()
             stop.set()
 
