Wait in a test for the watch that a stopped sidecar still opens

Cause: the test's sidecar has no discovery, so its watch tries to connect every 0.25 s, also after the shutdown, as the test's loop goes on. The test counted once, while an attempt to connect was under way.

What a cycle keeps stays, as the collector is off, so the check is as strict.

--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -324,8 +324,12 @@
                 await reader.read()
                 writer.close()
             await running.task
-        await asyncio.sleep(CHECK_INTERVAL_S)
         kept = count_owners()
+        for _ in range(int(TEST_TIMEOUT_S / CHECK_INTERVAL_S)):  # the watch of the sidecar goes on connecting
+            if not kept:
+                break
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            kept = count_owners()
         assert not kept, dict(kept)
 
     run(test)
